--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,192 @@
+// Package gateway is the real gateway round package lynxspool: it speaks HTTP
+// with clients, hosts and discovery, and leaves every decision to the Balancer.
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/wire"
+)
+
+// Config is what a gateway is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // where the list of hosts comes from
+	Seed      uint64
+
+	Cores    float64
+	MemoryMB int
+	Sockets  int // file descriptors that the process may hold
+
+	Known    MemberList // the hosts as this gateway last had them
+	Settings lynxspool.Settings
+
+	// Names as they stand in requests and lists; the module knows their index.
+	Classes map[string]int
+	Tenants map[string]int
+	Zones   map[string]int
+	Kinds   map[string]int
+
+	ConnIdle    time.Duration // a host closes a connection that was idle this long
+	DialTimeout time.Duration // a connection that is not up by then has failed
+}
+
+// Defaults of what the file may leave out.
+const (
+	defaultConnIdle    = time.Minute
+	defaultDialTimeout = 250 * time.Millisecond
+	defaultSockets     = 1024
+)
+
+// file is the form of GW_CONFIG.
+type file struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      string
+	Limits    struct {
+		Cores    float64
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int
+	}
+	Known    MemberList
+	Settings json.RawMessage
+}
+
+// names is what the settings object holds beside the module's part.
+type names struct {
+	Classes []named
+	Tenants []named
+	Zones   []string `json:"azs"`
+	Kinds   []string
+	Caps    struct {
+		ConnIdle    float64 `json:"conn_idle"`    // microseconds
+		DialTimeout float64 `json:"dial_timeout"` // microseconds
+	}
+}
+
+type named struct{ Name string }
+
+// Load reads the configuration from the file that GW_CONFIG names; the other
+// GW_ variables go before what the file says. An error is one plain line that
+// names the field at fault.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return nil, errors.New("GW_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+	}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"GW_NAME", &f.Name}, {"GW_LISTEN", &f.Listen}, {"GW_DISCOVERY", &f.Discovery}} {
+		if s := getenv(v.name); s != "" {
+			*v.to = s
+		}
+	}
+	return f.config()
+}
+
+func (f *file) config() (*Config, error) {
+	c := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known,
+	}
+	for _, a := range []struct{ field, addr string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is no host:port", a.field, a.addr)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", f.Seed)
+	}
+	switch {
+	case c.Cores < 0:
+		return nil, fmt.Errorf("limits.cores: %v is below 0", c.Cores)
+	case c.MemoryMB < 0:
+		return nil, fmt.Errorf("limits.memory_mb: %d is below 0", c.MemoryMB)
+	case c.Sockets < 0 || c.Sockets > 0 && c.Sockets < 64:
+		return nil, fmt.Errorf("limits.sockets: %d is too few, 64 at least", c.Sockets)
+	case c.Sockets == 0:
+		c.Sockets = defaultSockets
+	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
+		return nil, err
+	}
+	if _, err := lynxspool.New(c.Settings, c.Seed); err != nil {
+		return nil, err // it names the field
+	}
+	var n names
+	if err := json.Unmarshal(f.Settings, &n); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for _, t := range []struct {
+		field string
+		list  []named
+		to    *map[string]int
+	}{{"classes", n.Classes, &c.Classes}, {"tenants", n.Tenants, &c.Tenants}} {
+		list := make([]string, len(t.list))
+		for i, e := range t.list {
+			list[i] = e.Name
+		}
+		if *t.to, err = index(t.field, list); err != nil {
+			return nil, err
+		}
+	}
+	if c.Zones, err = index("azs", n.Zones); err != nil {
+		return nil, err
+	}
+	if c.Kinds, err = index("kinds", n.Kinds); err != nil {
+		return nil, err
+	}
+	if c.ConnIdle, err = micros("caps.conn_idle", n.Caps.ConnIdle, defaultConnIdle); err != nil {
+		return nil, err
+	}
+	c.DialTimeout, err = micros("caps.dial_timeout", n.Caps.DialTimeout, defaultDialTimeout)
+	return c, err
+}
+
+// index numbers names in the order of the settings, as the module does.
+func index(field string, list []string) (map[string]int, error) {
+	m := make(map[string]int, len(list))
+	for i, name := range list {
+		if name == "" {
+			return nil, fmt.Errorf("settings: %s: entry %d has no name", field, i)
+		}
+		if _, twice := m[name]; twice {
+			return nil, fmt.Errorf("settings: %s: %q is there twice", field, name)
+		}
+		m[name] = i
+	}
+	return m, nil
+}
+
+// micros converts a span in microseconds; 0 stands for the default.
+func micros(field string, us float64, def time.Duration) (time.Duration, error) {
+	if us == 0 {
+		return def, nil
+	}
+	if !(us > 0 && us < float64(time.Hour/time.Microsecond)) {
+		return 0, fmt.Errorf("settings: %s: %v is not between 0 and an hour", field, us)
+	}
+	return time.Duration(us * float64(time.Microsecond)), nil
+}
--- /dev/null
+++ b/internal/gateway/discovery.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lynxspool"
+)
+
+const (
+	pathMembers = "/catalog/members"
+
+	// While nothing changes a line comes every 2 s: with three missing, the watch is
+	// taken for dead.
+	watchSilence = 6 * time.Second
+	watchDial    = time.Second
+	watchBackoff = 50 * time.Millisecond // before a new watch, doubled to watchMost
+	watchMost    = time.Second
+	maxLine      = 16 << 20
+)
+
+// MemberList is the list of hosts, or changes of it, in discovery's form.
+type MemberList struct {
+	Version uint64
+	Full    bool
+	Servers []Member
+}
+
+// Member is one host of the list.
+type Member struct {
+	ID        string
+	Addr      string
+	Zone      string
+	Kind      string
+	Cell      int
+	State     string
+	StartedMS int64 `json:"started_ms"`
+}
+
+// state reads the state of a member; a host of which we cannot tell gets nothing new.
+func (m *Member) state() lynxspool.HostState {
+	switch m.State {
+	case "ready":
+		return lynxspool.Ready
+	case "gone":
+		return lynxspool.Removed
+	}
+	return lynxspool.Draining
+}
+
+// Discovery follows the list of hosts and tells the loop of it.
+type Discovery struct {
+	addr    string
+	ask     bool // a watch begins only when the module asks for it
+	asked   chan struct{}
+	version uint64 // of the list as told to the loop; belongs to Run
+	client  http.Client
+}
+
+// NewDiscovery returns a Discovery that starts from the known list.
+func NewDiscovery(cfg *Config) *Discovery {
+	return &Discovery{
+		addr: cfg.Discovery, ask: cfg.Settings.Ask, asked: make(chan struct{}, 1), version: cfg.Known.Version,
+		client: http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: watchDial}).DialContext, DisableKeepAlives: true,
+		}},
+	}
+}
+
+// Watch asks for changes from now on, where they do not come by themselves.
+func (d *Discovery) Watch() {
+	select {
+	case d.asked <- struct{}{}:
+	default: // asked already
+	}
+}
+
+// Run watches the list until ctx ends. A watch that breaks is begun anew, soon at
+// first; where the module has to ask, it is told instead and decides when.
+func (d *Discovery) Run(ctx context.Context, loop *Loop) {
+	backoff, lost := watchBackoff, false
+	for ctx.Err() == nil {
+		if d.ask {
+			select {
+			case <-ctx.Done():
+				return
+			case <-d.asked:
+			}
+		}
+		heard, err := d.watch(ctx, loop)
+		if ctx.Err() != nil {
+			return
+		}
+		if heard {
+			backoff, lost = watchBackoff, false
+		}
+		if !lost {
+			slog.Warn("watch of the host list lost, watching anew", "err", err)
+			lost = true
+		}
+		if d.ask {
+			loop.Members(lynxspool.ListFailed, MemberList{})
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, watchMost)
+	}
+}
+
+// watch holds one watch until it ends and says whether it brought anything.
+func (d *Discovery) watch(ctx context.Context, loop *Loop) (heard bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	url := "http://" + d.addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(d.version, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		silence.Reset(watchSilence)
+		heard = true
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var list MemberList
+		if err := json.Unmarshal(lines.Bytes(), &list); err != nil {
+			// What it said is lost, so the whole list is wanted.
+			d.version = 0
+			return false, fmt.Errorf("discovery's line: %w", err)
+		}
+		kind := lynxspool.ListChanges
+		if list.Full {
+			kind = lynxspool.ListFull
+		}
+		d.version = list.Version
+		loop.Members(kind, list)
+	}
+	return heard, lines.Err()
+}
