--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -157,5 +158,8 @@
 		d.version = list.Version
 		loop.Members(kind, list)
 	}
-	return heard, lines.Err()
+	if err := lines.Err(); err != nil {
+		return heard, err
+	}
+	return heard, io.ErrUnexpectedEOF // a watch has no end of its own
 }
--- /dev/null
+++ b/internal/gateway/host_test.go
@@ -0,0 +1,534 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"lynxspool"
+)
+
+const (
+	patience  = 20 * time.Second // for a condition: long, as machines are noisy
+	pollEvery = 2 * time.Millisecond
+)
+
+// until waits for a condition.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(pollEvery) {
+		if time.Now().After(end) {
+			t.Fatalf("gave up waiting: %s", what)
+		}
+	}
+}
+
+// testHost is a host on a loopback socket whose answers are written by a script.
+type testHost struct {
+	net.Listener
+	script func(c net.Conn, r *http.Request, n int) (keep bool)
+
+	mu       sync.Mutex
+	accepted int
+	ended    int // connections that the gateway has closed
+	requests []*http.Request
+	bodies   []string
+}
+
+// newHost starts a host. For each request, counted from 0 over all connections, the
+// script writes to the connection and says whether it stays open.
+func newHost(t *testing.T, script func(c net.Conn, r *http.Request, n int) bool) *testHost {
+	t.Helper()
+	return newHostOn(t, listen(t, "127.0.0.1:0", nil), script)
+}
+
+func newHostOn(t *testing.T, ln net.Listener, script func(c net.Conn, r *http.Request, n int) bool) *testHost {
+	h := &testHost{Listener: ln, script: script}
+	t.Cleanup(func() { h.Close() })
+	go func() {
+		for {
+			c, err := h.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.accepted++
+			h.mu.Unlock()
+			go h.serve(c)
+		}
+	}()
+	return h
+}
+
+func listen(t *testing.T, addr string, control func(string, string, syscall.RawConn) error) net.Listener {
+	t.Helper()
+	ln, err := (&net.ListenConfig{Control: control}).Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func (h *testHost) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			h.mu.Lock()
+			h.ended++
+			h.mu.Unlock()
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		h.mu.Lock()
+		n := len(h.requests)
+		h.requests = append(h.requests, r)
+		h.bodies = append(h.bodies, string(body))
+		h.mu.Unlock()
+		if !h.script(c, r, n) {
+			return
+		}
+	}
+}
+
+func (h *testHost) addr() string { return h.Listener.Addr().String() }
+
+// counts returns the requests that came whole, the connections accepted and those
+// that the gateway has ended.
+func (h *testHost) counts() (requests, accepted, ended int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.requests), h.accepted, h.ended
+}
+
+// says is a script that writes the same answer each time.
+func says(text string) func(net.Conn, *http.Request, int) bool {
+	return func(c net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(c, text)
+		return true
+	}
+}
+
+const (
+	good       = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+	errored    = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+	turnedAway = "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// hang answers nothing; the host goes on reading, and so sees the connection end.
+func hang(net.Conn, *http.Request, int) bool { return true }
+
+// breakOff resets the connection.
+func breakOff(c net.Conn, _ *http.Request, _ int) bool {
+	c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+func newTestPool() *Pool {
+	return NewPool(&Config{ConnIdle: time.Minute, DialTimeout: patience, Sockets: 1024})
+}
+
+// pooled is a host as the loop keeps it.
+func pooled(p *Pool, addr string) *host {
+	h := &host{id: "s-1"}
+	p.update(h, addr, 0, true)
+	return h
+}
+
+func newExchange(body string) *exchange {
+	x := &exchange{
+		method: http.MethodPost, uri: "/api/1", host: "service.internal", header: http.Header{},
+		body: []byte(body), deadline: time.Now().Add(patience), answer: make(chan answer, 1),
+	}
+	return x
+}
+
+// tryOnce makes one attempt with plenty of time.
+func tryOnce(t *testing.T, p *Pool, h *host, x *exchange) (lynxspool.Result, answer) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return p.attempt(ctx, h, x)
+}
+
+func (p *Pool) counts(h *host) (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle[h])
+}
+
+// What a host answers decides whether the request may have run: a wrong result here
+// would let an unsafe request run twice.
+func TestAnswersAndTheirResults(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		want         lynxspool.Result
+		kept         int // connections kept for the next attempt
+	}{
+		{"good", good, lynxspool.OK, 1},
+		{"good after 100", "HTTP/1.1 100 Continue\r\n\r\n" + good, lynxspool.OK, 1},
+		{"good, chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", lynxspool.OK, 1},
+		{"good, then closing", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ngood", lynxspool.OK, 0},
+		{"error", errored, lynxspool.Failed, 1},
+		{"turned away", turnedAway, lynxspool.Full, 1},
+		{"turned away as over", "HTTP/1.1 504 Over\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", lynxspool.Full, 1},
+		{"503 without the proof", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", lynxspool.Failed, 1},
+		{"proof on another status", "HTTP/1.1 500 Oops\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", lynxspool.Failed, 1},
+		{"proof that is none", "HTTP/1.1 503 Full\r\nX-Not-Processed: 0\r\nContent-Length: 0\r\n\r\n", lynxspool.Failed, 1},
+		{"longer than announced", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ngood", lynxspool.Failed, 0},
+		{"too long a body", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), lynxspool.Failed, 0},
+		{"head without end", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHead+maxBody), lynxspool.Reset, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, server := newTestPool(), newHost(t, says(tt.answer))
+			h := pooled(p, server.addr())
+			got, a := tryOnce(t, p, h, newExchange("b"))
+			if got != tt.want {
+				t.Errorf("result %v, want %v", got, tt.want)
+			}
+			if body := string(a.body); (got == lynxspool.OK) != (body == "good") {
+				t.Errorf("result %v with the body %q", got, body)
+			}
+			if open, idle := p.counts(h); open != tt.kept || idle != tt.kept {
+				t.Errorf("%d connections open and %d idle, want %d", open, idle, tt.kept)
+			}
+			if requests, _, _ := server.counts(); requests != 1 {
+				t.Errorf("the host got %d requests", requests)
+			}
+		})
+	}
+}
+
+// A body that ends early, or with nothing to tell its length, is not served.
+func TestCutShortBody(t *testing.T) {
+	for name, text := range map[string]string{
+		"announced": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ngood",
+		"chunked":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n",
+		"unframed":  "HTTP/1.1 200 OK\r\n\r\ngood",
+		"no answer": "",
+	} {
+		p := newTestPool()
+		server := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(c, text)
+			return false
+		})
+		h := pooled(p, server.addr())
+		if got, _ := tryOnce(t, p, h, newExchange("b")); got != lynxspool.Reset {
+			t.Errorf("%s: result %v, want Reset", name, got)
+		}
+		if open, _ := p.counts(h); open != 0 {
+			t.Errorf("%s: %d connections left open", name, open)
+		}
+	}
+}
+
+func TestConnectionRefused(t *testing.T) {
+	p := newTestPool()
+	ln := listen(t, "127.0.0.1:0", nil)
+	h := pooled(p, ln.Addr().String())
+	ln.Close()
+	if got, _ := tryOnce(t, p, h, newExchange("b")); got != lynxspool.ConnectFailed {
+		t.Errorf("result %v, want ConnectFailed", got)
+	}
+	if open, _ := p.counts(h); open != 0 {
+		t.Errorf("%d connections are counted as open", open)
+	}
+}
+
+// A machine that has vanished does not answer a dial: it must end by the dial's own
+// time-out, as proof that nothing ran.
+func TestSilentConnect(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}).String()
+	// Nobody accepts, so once one connection is up the backlog is full.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	up := make(chan struct{}, 8)
+	for range cap(up) {
+		go func() {
+			if c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr); err == nil {
+				defer c.Close()
+				up <- struct{}{}
+				<-ctx.Done()
+			}
+		}()
+	}
+	<-up
+	p := newTestPool()
+	p.dialer.Timeout = 100 * time.Millisecond
+	if got, _ := tryOnce(t, p, pooled(p, addr), newExchange("b")); got != lynxspool.ConnectFailed {
+		t.Errorf("result %v, want ConnectFailed", got)
+	}
+}
+
+// small makes a socket's buffer so small that a long request does not fit.
+func small(option int) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) (err error) {
+		cerr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, 4096)
+		})
+		if cerr != nil {
+			return cerr
+		}
+		return err
+	}
+}
+
+func TestResetBeforeTheLastByte(t *testing.T) {
+	ln := listen(t, "127.0.0.1:0", small(syscall.SO_RCVBUF))
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 1))
+			breakOff(c, nil, 0)
+			c.Close()
+		}
+	}()
+	p := newTestPool()
+	p.dialer.Control = small(syscall.SO_SNDBUF)
+	h := pooled(p, ln.Addr().String())
+	if got, _ := tryOnce(t, p, h, newExchange(strings.Repeat("x", maxBody))); got != lynxspool.ConnectFailed {
+		t.Errorf("result %v, want ConnectFailed", got)
+	}
+}
+
+func TestResetAfterTheLastByte(t *testing.T) {
+	p, server := newTestPool(), newHost(t, breakOff)
+	if got, _ := tryOnce(t, p, pooled(p, server.addr()), newExchange("b")); got != lynxspool.Reset {
+		t.Errorf("result %v, want Reset", got)
+	}
+	if requests, _, _ := server.counts(); requests != 1 {
+		t.Errorf("the host got %d requests", requests)
+	}
+}
+
+// A connection that the host closed while it was idle must not cost a request.
+func TestStaleIdleConnection(t *testing.T) {
+	p := newTestPool()
+	server := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(c, good)
+		return false
+	})
+	h := pooled(p, server.addr())
+	for i := range 3 {
+		if got, _ := tryOnce(t, p, h, newExchange("b")); got != lynxspool.OK {
+			t.Fatalf("attempt %d: result %v", i, got)
+		}
+		p.mu.Lock()
+		c := p.idle[h][0]
+		p.mu.Unlock()
+		until(t, "the idle connection is seen to be closed", func() bool { return !c.quiet() })
+	}
+	p.sweep()
+	if open, idle := p.counts(h); open != 0 || idle != 0 {
+		t.Errorf("%d connections open and %d idle after a sweep", open, idle)
+	}
+}
+
+// An idle connection on which the host has said something carries no request: the
+// answer would be taken for another's.
+func TestUnaskedAnswerIsNotTakenForAnothers(t *testing.T) {
+	p := newTestPool()
+	server := newHost(t, func(c net.Conn, _ *http.Request, n int) bool {
+		io.WriteString(c, good)
+		return true
+	})
+	h := pooled(p, server.addr())
+	tryOnce(t, p, h, newExchange("b"))
+	p.mu.Lock()
+	c := p.idle[h][0]
+	p.mu.Unlock()
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil || raw == nil {
+		t.Fatal(err)
+	}
+	c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")) // brings an answer that nobody reads
+	until(t, "the answer is there", func() bool { return !c.quiet() })
+	if got, _ := tryOnce(t, p, h, newExchange("b")); got != lynxspool.OK {
+		t.Errorf("result %v", got)
+	}
+	if _, accepted, _ := server.counts(); accepted != 2 {
+		t.Errorf("%d connections, want a new one", accepted)
+	}
+}
+
+// Handshakes cost hosts work: the warmest idle connection is used again, and the
+// coldest is left to be closed.
+func TestWarmestConnectionIsReused(t *testing.T) {
+	p, server := newTestPool(), newHost(t, says(good))
+	h := pooled(p, server.addr())
+	ctx := context.Background()
+	a, errA := p.get(ctx, h)
+	b, errB := p.get(ctx, h)
+	if errA != nil || errB != nil {
+		t.Fatal(errA, errB)
+	}
+	p.put(a)
+	p.put(b)
+	if c, _ := p.get(ctx, h); c != b {
+		t.Error("not the warmest connection was used")
+	} else {
+		p.put(c)
+	}
+	tryOnce(t, p, h, newExchange("b"))
+	tryOnce(t, p, h, newExchange("b"))
+	until(t, "both dials are accepted", func() bool {
+		_, accepted, _ := server.counts()
+		return accepted == 2
+	})
+	if open, idle := p.counts(h); open != 2 || idle != 2 {
+		t.Errorf("%d connections open and %d idle, want the two dialled", open, idle)
+	}
+	p.maxIdle = 0
+	p.sweep()
+	if open, _ := p.counts(h); open != 0 {
+		t.Errorf("%d connections open, all had been idle too long", open)
+	}
+}
+
+// A restarted, moved or drained host gets none of its old connections' requests.
+func TestIdleConnectionsEndWithTheHost(t *testing.T) {
+	for name, change := range map[string]func(p *Pool, h *host){
+		"restarted": func(p *Pool, h *host) { p.update(h, h.addr, 1, true) },
+		"moved":     func(p *Pool, h *host) { p.update(h, "127.0.0.1:1", 0, true) },
+		"draining":  func(p *Pool, h *host) { p.update(h, h.addr, 0, false) },
+	} {
+		p, server := newTestPool(), newHost(t, says(good))
+		h := pooled(p, server.addr())
+		tryOnce(t, p, h, newExchange("b"))
+		change(p, h)
+		if open, idle := p.counts(h); open != 0 || idle != 0 {
+			t.Errorf("%s: %d connections open and %d idle", name, open, idle)
+		}
+		until(t, name+": the host sees its connection end", func() bool {
+			_, _, ended := server.counts()
+			return ended == 1
+		})
+	}
+}
+
+// Giving up closes the connection, so that the host can stop, and nothing else is
+// sent on it.
+func TestHangIsGivenUp(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		ctx  func() (context.Context, context.CancelFunc)
+		want lynxspool.Result
+	}{
+		{"deadline", func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), 300*time.Millisecond)
+		}, lynxspool.TimedOut},
+		{"called off", func() (context.Context, context.CancelFunc) {
+			return context.WithCancel(context.Background())
+		}, lynxspool.Canceled},
+	} {
+		p, server := newTestPool(), newHost(t, hang)
+		h := pooled(p, server.addr())
+		ctx, cancel := tt.ctx()
+		if tt.want == lynxspool.Canceled {
+			go func() {
+				for requests := 0; requests == 0; requests, _, _ = server.counts() {
+					time.Sleep(pollEvery)
+				}
+				cancel()
+			}()
+		}
+		got, _ := p.attempt(ctx, h, newExchange("b"))
+		requests, _, _ := server.counts()
+		want := tt.want
+		if requests == 0 {
+			want = lynxspool.NotSent // the machine was so slow that nothing went out
+		}
+		if got != want {
+			t.Errorf("%s: result %v, want %v", tt.name, got, want)
+		}
+		cancel()
+		until(t, tt.name+": the host sees the connection end", func() bool {
+			_, accepted, ended := server.counts()
+			return accepted == ended
+		})
+		if open, idle := p.counts(h); open != 0 || idle != 0 {
+			t.Errorf("%s: %d connections open and %d idle", tt.name, open, idle)
+		}
+	}
+}
+
+// The list may change, or the request end, while a dial is on: nothing goes out then.
+func TestLookAgainBeforeTheWrite(t *testing.T) {
+	for name, change := range map[string]func(p *Pool, h *host, x *exchange){
+		"drain during a dial": func(p *Pool, h *host, _ *exchange) { p.update(h, h.addr, 0, false) },
+		"over during a dial":  func(_ *Pool, _ *host, x *exchange) { x.close() },
+	} {
+		p, server := newTestPool(), newHost(t, says(good))
+		h, x := pooled(p, server.addr()), newExchange("b")
+		p.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+			change(p, h, x)
+			return nil
+		}
+		if got, _ := tryOnce(t, p, h, x); got != lynxspool.NotSent {
+			t.Errorf("%s: result %v, want NotSent", name, got)
+		}
+		p.closeIdle(h)
+		until(t, name+": the connection ends", func() bool {
+			_, accepted, ended := server.counts()
+			return accepted == 1 && ended == 1
+		})
+		if requests, _, _ := server.counts(); requests != 0 {
+			t.Errorf("%s: the host got %d requests", name, requests)
+		}
+	}
+}
+
+// Connections stay within the budget: an idle one makes room, and with none the
+// attempt is not sent, which proves that it did not run.
+func TestConnectionBudget(t *testing.T) {
+	p, first, second := newTestPool(), newHost(t, says(good)), newHost(t, hang)
+	p.budget = 1
+	a, b := pooled(p, first.addr()), pooled(p, second.addr())
+	tryOnce(t, p, a, newExchange("b"))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan lynxspool.Result, 1)
+	go func() {
+		got, _ := p.attempt(ctx, b, newExchange("b"))
+		done <- got
+	}()
+	until(t, "the second host gets its request", func() bool {
+		requests, _, _ := second.counts()
+		return requests == 1
+	})
+	if got, _ := tryOnce(t, p, a, newExchange("b")); got != lynxspool.NotSent {
+		t.Errorf("beyond the budget: result %v, want NotSent", got)
+	}
+	cancel()
+	<-done
+	if got, _ := tryOnce(t, p, a, newExchange("b")); got != lynxspool.OK {
+		t.Errorf("with room again: result %v", got)
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -5,6 +5,7 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -141,9 +142,13 @@
 				State: m.state(), Started: lynxspool.Time(m.StartedMS) * lynxspool.Time(time.Millisecond),
 			}
 			h := l.hosts[e.ID]
-			if h == nil {
+			if h == nil && e.State == lynxspool.Removed {
+				continue // it went before we knew of it
+			} else if h == nil {
 				h = &host{id: m.ID}
 				l.hosts[e.ID] = h
+				// The module's lines name a host by its number; once a host is not too many.
+				slog.Info("host listed", "host", m.ID, "number", strconv.FormatUint(uint64(e.ID), 16), "addr", m.Addr)
 			} else if h.id != m.ID {
 				// Two names with one HostID would be taken for one host.
 				slog.Error("host left out: its id collides with another's", "host", m.ID, "other", h.id)
