--- /dev/null
+++ b/cmd/dunemoor/main_test.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second // for a condition: long, as machines are noisy
+
+// comeTime is how long clients come after SIGTERM at the least.
+const comeTime = 400 * time.Millisecond
+
+// TestMain lets the test binary stand in for the program, so that signals and exit
+// codes are those of a process.
+func TestMain(m *testing.M) {
+	if os.Getenv("DUNEMOOR_AS_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+type program struct {
+	*exec.Cmd
+	url    string
+	out    bytes.Buffer
+	exited chan struct{}
+}
+
+// start runs the program with a configuration.
+func start(t *testing.T, config, listen string) *program {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{Cmd: exec.Command(os.Args[0]), url: "http://" + listen, exited: make(chan struct{})}
+	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN="+listen)
+	p.Stdout, p.Stderr = &p.out, &p.out
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.Process.Kill()
+		<-p.exited
+	})
+	return p
+}
+
+// ready waits until the program reports that it can serve.
+func (p *program) ready(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if resp, err := http.Get(p.url + "/_health"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return
+			}
+		}
+	}
+	t.Fatal("the program does not get ready")
+}
+
+// freeAddr is a loopback address that was free just now; nothing else here uses that
+// IP address, so that it stays free.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.83:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func config(hosts ...string) string {
+	type member map[string]any
+	list := []member{}
+	for i, addr := range hosts {
+		list = append(list, member{"id": fmt.Sprint("s-", i), "addr": addr, "state": "ready"})
+	}
+	text, _ := json.Marshal(member{
+		"name": "n0", "discovery": "127.0.0.1:1", "seed": "1f",
+		"limits": member{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":  member{"version": 1, "full": true, "servers": list},
+		"settings": member{
+			"balancers": 1, "step": 5000, "caps": member{"cancel": true, "max_attempts": 4},
+			"classes": []member{{"name": "book", "effect": "at_most_once", "hard_limit": 2000000, "promise": 2000000}},
+		},
+	})
+	return string(text)
+}
+
+// ask sends a request on a connection of its own. The error tells whether there was
+// a connection: one that is refused has taken nothing.
+func ask(url string) (taken bool, err error) {
+	nc, err := net.DialTimeout("tcp", strings.TrimPrefix(url, "http://"), patience)
+	if err != nil {
+		return false, err
+	}
+	client := http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		Dial:              func(string, string) (net.Conn, error) { return nc, nil },
+	}, Timeout: patience}
+	r, err := http.NewRequest(http.MethodPost, url+"/api/1", strings.NewReader("body"))
+	if err != nil {
+		return false, err
+	}
+	r.Header.Set("X-Priority-Class", "book")
+	resp, err := client.Do(r)
+	if err != nil {
+		return true, err
+	}
+	defer resp.Body.Close()
+	if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || string(text) != "done" {
+		return true, fmt.Errorf("answer %d %q, %v", resp.StatusCode, text, err)
+	}
+	return true, nil
+}
+
+// After SIGTERM clients still come for a while, and all that was taken is answered;
+// then the program ends by itself with exit code 0. It guards against closing the
+// listener at once, which loses what waits in its backlog.
+func TestStopUnderLoad(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond) // so that some are out at any time
+		io.WriteString(w, "done")
+	}))
+	defer host.Close()
+	p := start(t, config(strings.TrimPrefix(host.URL, "http://")), freeAddr(t))
+	p.ready(t)
+	var served, after atomic.Int64
+	var stopAt atomic.Int64 // Unix time in ns of the signal, 0 before it
+	var clients sync.WaitGroup
+	for range 2 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for {
+				stop := stopAt.Load()
+				taken, err := ask(p.url)
+				if err == nil && stop > 0 {
+					after.Add(1)
+				}
+				switch {
+				case stop > 0 && time.Since(time.Unix(0, stop)) > comeTime:
+					return // the last one may have come too late
+				case taken && err != nil:
+					t.Errorf("lost: %v", err)
+				case err != nil:
+					t.Errorf("not taken, though clients still come: %v", err)
+				}
+				served.Add(1)
+			}
+		}()
+	}
+	for end := time.Now().Add(patience); served.Load() < 10 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	stopAt.Store(time.Now().UnixNano())
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	clients.Wait()
+	if after.Load() == 0 {
+		t.Error("nothing was served after SIGTERM")
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		t.Fatal("the program does not end")
+	}
+	if code := p.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d: %s", code, p.out.String())
+	}
+}
+
+// What was taken just before the listener closed has its answer before the exit.
+func TestStopFinishesWhatIsOut(t *testing.T) {
+	got, release := make(chan struct{}), make(chan struct{})
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(got)
+		<-release
+		io.WriteString(w, "done")
+	}))
+	defer host.Close()
+	p := start(t, config(strings.TrimPrefix(host.URL, "http://")), freeAddr(t))
+	p.ready(t)
+	answer := make(chan error, 1)
+	go func() {
+		_, err := ask(p.url)
+		answer <- err
+	}()
+	<-got
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		nc, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			break // the listener is closed, the request still out
+		} else if err == nil {
+			nc.Close()
+		}
+		if time.Now().After(end) {
+			t.Fatal("the listener stays open")
+		}
+	}
+	close(release)
+	if err := <-answer; err != nil {
+		t.Errorf("lost: %v", err)
+	}
+	<-p.exited
+	if code := p.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d: %s", code, p.out.String())
+	}
+}
+
+// A gateway that was killed starts again from nothing under its address, and serves
+// from the list it last had, though discovery is down.
+func TestRestart(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "done")
+	}))
+	defer host.Close()
+	addr, text := freeAddr(t), config(strings.TrimPrefix(host.URL, "http://"))
+	for i := range 2 {
+		p := start(t, text, addr)
+		p.ready(t)
+		if _, err := ask(p.url); err != nil {
+			t.Errorf("start %d: %v", i, err)
+		}
+		p.Process.Kill()
+		<-p.exited
+	}
+}
+
+// Bad configuration ends the program with one line that names the field, and 1.
+func TestBadConfiguration(t *testing.T) {
+	p := start(t, strings.Replace(config(), `"hard_limit":2000000`, `"hard_limit":0`, 1), "127.0.0.1:0")
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		t.Fatal("the program does not end")
+	}
+	if code := p.ProcessState.ExitCode(); code != 1 {
+		t.Errorf("exit code %d", code)
+	}
+	if out := p.out.String(); !strings.Contains(out, "deadline") || strings.Count(out, "\n") != 1 {
+		t.Errorf("said %q, want one line that names the field", out)
+	}
+}
