Reload on SIGHUP; check requests before they go on; bound bad clients

Change: SIGHUP reads the file anew and moves the watch of discovery to its address, from index 0 and with late lines of the old one left out. read() refuses every Transfer-Encoding and HTTP/1.0, headers that are missing, malformed or there twice, ids open or just ended, lengths over 64 KiB unread. Connections stand in lines by use (clients.go), so making room costs the same at any number. Bodies held are bounded. After a bad request the connection ends.

--- /dev/null
+++ b/internal/gateway/client_test.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// owed is how long a bad client may be left without an error or a close. A busy machine
+// gets some more here; the limits that this guards against are far longer.
+const owed = 3*time.Second + 2*time.Second
+
+func (g *testGateway) dial() net.Conn {
+	g.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		g.Fatal(err)
+	}
+	g.Cleanup(func() { c.Close() })
+	return c
+}
+
+// look is a good request of the class look.
+func look(id string) string {
+	return "GET /api/1 HTTP/1.1\r\nHost: a\r\nX-Priority-Class: look\r\nX-Timeout: 60\r\nX-Request-ID: " + id + "\r\n\r\n"
+}
+
+// A bad client has an error or a close soon, and with it its connection ends; no host
+// sees anything of it. Each case guards against one thing that a peer must not be
+// trusted with.
+func TestBadClients(t *testing.T) {
+	server := newHost(t, says(good))
+	g := startGateway(t, testConfig(server))
+	head := func(first string, lines ...string) string {
+		return first + "\r\nHost: a\r\n" + strings.Join(lines, "\r\n") + "\r\n\r\n"
+	}
+	const class, timeout = "X-Priority-Class: book", "X-Timeout: 60"
+	id := func() string { return "X-Request-ID: " + newID() }
+	const post = "POST /api/1 HTTP/1.1"
+	hidden := "0\r\n\r\n" + look(newID())
+	long := fmt.Sprintf("Content-Length: %d", len(hidden))
+	for _, tt := range []struct {
+		name, text string
+		status     string // as it may begin; empty: a close with no answer will do
+	}{
+		{"a length and an encoding", head(post, class, timeout, id(), long, "Transfer-Encoding: chunked") + hidden, "400"},
+		{"an encoding and a length", head(post, class, timeout, id(), "Transfer-Encoding: chunked", long) + hidden, "400"},
+		{"the same in HTTP/1.0", head("POST /api/1 HTTP/1.0", class, timeout, id(), long, "Transfer-Encoding: chunked") + hidden, "400"},
+		{"an odd encoding", head(post, class, timeout, id(), long, "Transfer-Encoding: xchunked") + hidden, "501"},
+		{"chunked", head(post, class, timeout, id(), "Transfer-Encoding: chunked") + "1\r\na\r\n0\r\n\r\n", "400"},
+		{"no id", head(post, class, timeout, "Content-Length: 1") + "b", "400"},
+		{"an empty id", head(post, class, timeout, "X-Request-ID: ", "Content-Length: 1") + "b", "400"},
+		{"an id that is none", head(post, class, timeout, "X-Request-ID: a b;c", "Content-Length: 1") + "b", "400"},
+		{"an id too long", head(post, class, timeout, "X-Request-ID: "+strings.Repeat("a", maxID+1), "Content-Length: 1") + "b", "400"},
+		{"two ids", head(post, class, timeout, id(), id(), "Content-Length: 1") + "b", "400"},
+		{"no time-out", head(post, class, id(), "Content-Length: 1") + "b", "400"},
+		{"a time-out below 0", head(post, class, "X-Timeout: -1", id(), "Content-Length: 1") + "b", "400"},
+		{"a time-out that is no number", head(post, class, "X-Timeout: NaN", id(), "Content-Length: 1") + "b", "400"},
+		{"a time-out without end", head(post, class, "X-Timeout: inf", id(), "Content-Length: 1") + "b", "400"},
+		{"no class", head(post, timeout, id(), "Content-Length: 1") + "b", "400"},
+		{"the method of another class", head("GET /api/1 HTTP/1.1", class, timeout, id()), "400"},
+		{"a length below 0", head(post, class, timeout, id(), "Content-Length: -1") + "b", "400"},
+		{"two lengths", head(post, class, timeout, id(), "Content-Length: 1", "Content-Length: 2") + "bb", "400"},
+		{"noise", strings.Repeat("\x00\xff\x03", 100) + "\r\n\r\n", "400"},
+		{"a head without end", post + "\r\n" + strings.Repeat("X-Pad: pppppppppppppppppppppppp\r\n", 4000), "431"},
+		{"60 MB to come", head(post, class, timeout, id(), "Content-Length: 62914560"), "413"},
+		{"half a head", post + "\r\nHost: a\r\nX-Prio", ""},
+		{"half a body", head(post, class, timeout, id(), "Content-Length: 10") + "half", "400"},
+		{"nothing", "", ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(owed))
+			go io.WriteString(c, tt.text) // it may end before all is written
+			got, err := io.ReadAll(c)
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				t.Fatalf("neither an error nor a close; it has %q", got)
+			}
+			if want := " " + tt.status; tt.status != "" && (len(got) < 8 || !strings.HasPrefix(string(got[8:]), want)) {
+				t.Errorf("answer %.80q (%v), want %s", got, err, want)
+			}
+			if n := strings.Count(string(got), "HTTP/1.1 "); n > 1 {
+				t.Errorf("%d answers", n)
+			}
+		})
+	}
+	if requests, accepted, _ := server.counts(); requests+accepted != 0 {
+		t.Errorf("the host got %d requests on %d connections", requests, accepted)
+	}
+	if n := g.server.bodies.Load(); n != 0 {
+		t.Errorf("%d bytes of bodies are counted as held", n)
+	}
+	g.server.ids.mu.Lock()
+	defer g.server.ids.mu.Unlock()
+	if n := len(g.server.ids.open); n != 0 {
+		t.Errorf("%d ids are still open", n)
+	}
+}
+
+// A client that sends 60 MB sees the answer or a close soon, though it reads only when
+// it has written. It guards against reading what is not wanted.
+func TestHugeBody(t *testing.T) {
+	g := startGateway(t, testConfig())
+	c := g.dial()
+	c.SetDeadline(time.Now().Add(2 * owed)) // 6 s are owed
+	io.WriteString(c, "POST /api/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 62914560\r\n\r\n")
+	part := make([]byte, 1<<16)
+	var err error
+	for sent := 0; err == nil && sent < 62914560; sent += len(part) {
+		_, err = c.Write(part)
+	}
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		t.Error("it can neither go on nor stop")
+	}
+}
+
+// The id of an open request, or of one that ended a moment ago, opens no other one; and
+// what is remembered of ids shrinks again.
+func TestIDsInUse(t *testing.T) {
+	got, release := make(chan struct{}, 1), make(chan struct{})
+	server := newHost(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		got <- struct{}{}
+		<-release
+		io.WriteString(c, good)
+		return true
+	})
+	g := startGateway(t, testConfig(server))
+	first, id := g.dial(), newID()
+	io.WriteString(first, look(id))
+	<-got
+	again := func(when string) {
+		t.Helper()
+		c := g.dial()
+		io.WriteString(c, look(id))
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 409 || !resp.Close {
+			t.Errorf("%s: %+v, %v", when, resp, err)
+		}
+	}
+	again("while it is open")
+	close(release)
+	if resp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	again("just after its end")
+	if requests, _, _ := server.counts(); requests != 1 {
+		t.Errorf("the host got %d requests", requests)
+	}
+	ids, now := &g.server.ids, time.Now()
+	for i := range 10000 {
+		now = now.Add(time.Millisecond)
+		if id := fmt.Sprint(i); !ids.start(id, now) {
+			t.Fatal(id)
+		} else {
+			ids.end(id)
+		}
+	}
+	if open, kept := len(ids.open), len(ids.ended)+len(ids.older); open != 0 || kept > 2*int(idMemory/time.Millisecond)+2 {
+		t.Errorf("%d ids open and %d remembered", open, kept)
+	}
+	if !ids.start(id, now) {
+		t.Error("an id is remembered for good")
+	}
+}
+
+// With the memory for bodies used up a request is turned away, harmlessly, and told when
+// to come back; with room again it is served.
+func TestBodiesAreBounded(t *testing.T) {
+	server := newHost(t, says(good))
+	g := startGateway(t, testConfig(server))
+	g.server.bodies.Add(g.server.bodiesMax)
+	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+	if resp, _ := g.ask("look", "/api/1", ""); resp.StatusCode != 200 {
+		t.Errorf("one without a body: status %d", resp.StatusCode)
+	}
+	g.server.bodies.Add(-g.server.bodiesMax)
+	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 200 {
+		t.Errorf("with room again: status %d", resp.StatusCode)
+	}
+	until(t, "no body is counted any more", func() bool { return g.server.bodies.Load() == 0 })
+}
+
+// asked asks on a connection and says whether a good answer came.
+func asked(c net.Conn) error {
+	if _, err := io.WriteString(c, look(newID())); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	if text, err := io.ReadAll(resp.Body); string(text) != "good" {
+		return fmt.Errorf("%d %q, %v", resp.StatusCode, text, err)
+	}
+	return nil
+}
+
+// Hundreds of connections that say nothing leave room for those that bring requests, at
+// the least number of descriptors in service; so do those idle for long, but none that
+// was used a moment ago is closed.
+func TestDescriptorsAreLeftForRequests(t *testing.T) {
+	server := newHost(t, says(good))
+	cfg := testConfig(server)
+	cfg.Sockets = 256
+	g := startGateway(t, cfg)
+	clients := &g.server.clients
+	open := func() int {
+		clients.mu.Lock()
+		defer clients.mu.Unlock()
+		return clients.open
+	}
+	var usual []net.Conn
+	for range cfg.Sockets / 3 {
+		c := g.dial()
+		if err := asked(c); err != nil {
+			t.Fatal(err)
+		}
+		usual = append(usual, c)
+	}
+	for i := range 600 {
+		g.dial()
+		if i%20 == 0 {
+			if err := asked(g.dial()); err != nil {
+				t.Fatalf("a new client among %d silent ones: %v", i, err)
+			}
+		}
+		if n := open(); n > clients.most {
+			t.Fatalf("%d connections, %d at most", n, clients.most)
+		}
+	}
+	// Those used within idleLeast are still there.
+	var all sync.WaitGroup
+	for i, c := range usual {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if err := asked(c); err != nil {
+				t.Errorf("connection %d: %v", i, err)
+			}
+		}()
+	}
+	all.Wait()
+	clients.mu.Lock()
+	for e := clients.idle.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*clientConn)
+		c.since = c.since.Add(-idleLeast)
+	}
+	for clients.silent.Len() > 0 { // none left to make room with
+		c := clients.silent.Front().Value.(*clientConn)
+		clients.move(c, nil)
+	}
+	before := clients.idle.Len()
+	clients.mu.Unlock()
+	g.dial()
+	until(t, "a connection idle for long has made room", func() bool {
+		clients.mu.Lock()
+		defer clients.mu.Unlock()
+		return clients.open == clients.budget && clients.idle.Len() == before-1
+	})
+}
--- /dev/null
+++ b/internal/gateway/clients.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// clients keeps the connections of clients within their budget of descriptors. Beyond
+// it, what is of least use is closed: first connections that are done with, then those
+// that have brought no request yet, oldest first, then those idle for idleLeast. It
+// guards against running out of descriptors with requests in the backlog, and costs the
+// same however many connections there are.
+type clients struct {
+	budget int // what makes room is closed beyond it
+	most   int // a connection beyond that is closed at once
+
+	mu     sync.Mutex
+	open   int
+	spent  list.List // answered for the last time, on their way to be closed
+	silent list.List // with no request yet
+	idle   list.List // between two requests
+}
+
+// Uses of a connection. Whoever changes it from connFree decides: either its bytes are
+// a request or it is closed, never both.
+const (
+	connFree   = iota // holds no request
+	connTaken         // holds one, whole or in part
+	connClosed        // closed to make room
+)
+
+// clientConn is a client's connection.
+type clientConn struct {
+	*net.TCPConn
+	use    atomic.Int32
+	served atomic.Bool // it has had an answer
+
+	// clients.mu guards these.
+	in    *list.List
+	place *list.Element
+	since time.Time
+}
+
+type clientKey struct{} // of the connection among a request's context values
+
+// Read marks the connection as taken with the first byte of a further request: it
+// guards against closing it for being idle with a request half read. One that has yet
+// to bring its first can be closed until that is there whole.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.served.Load() && !c.use.CompareAndSwap(connFree, connTaken) && c.use.Load() == connClosed {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// clientListener gives out clientConns.
+type clientListener struct{ net.Listener }
+
+// Accept lets the connections accepted before read what has come first: it guards
+// against taking a client for silent in a burst of connections.
+func (l clientListener) Accept() (net.Conn, error) {
+	runtime.Gosched()
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{TCPConn: c.(*net.TCPConn)}, nil
+}
+
+// track follows the connections.
+func (s *clients) track(nc net.Conn, state http.ConnState) {
+	c := nc.(*clientConn)
+	var victim *clientConn
+	s.mu.Lock()
+	switch state {
+	case http.StateNew:
+		s.open++
+		if victim = s.makeRoom(); victim == nil && s.open > s.most {
+			c.use.Store(connClosed)
+			s.open--
+			victim = c
+		} else {
+			s.move(c, &s.silent)
+		}
+	case http.StateActive:
+		c.use.CompareAndSwap(connFree, connTaken) // if it is closed, serve sees it
+		s.move(c, nil)
+	case http.StateIdle:
+		c.served.Store(true)
+		s.move(c, &s.idle)
+		c.use.CompareAndSwap(connTaken, connFree)
+	default:
+		s.move(c, nil)
+		if c.use.Swap(connClosed) != connClosed {
+			s.open--
+		}
+	}
+	s.mu.Unlock()
+	if victim != nil {
+		victim.Close()
+	}
+}
+
+// spend says that a connection will be closed behind the answer being written.
+func (s *clients) spend(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.use.CompareAndSwap(connTaken, connFree) {
+		s.move(c, &s.spent)
+	}
+}
+
+// move puts a connection into a line, or none; mu is held.
+func (s *clients) move(c *clientConn, to *list.List) {
+	if c.in != nil {
+		c.in.Remove(c.place)
+	}
+	c.in, c.place, c.since = to, nil, time.Now()
+	if to != nil {
+		c.place = to.PushBack(c)
+	}
+}
+
+// makeRoom picks the connection to close if there are too many; mu is held.
+func (s *clients) makeRoom() *clientConn {
+	if s.open <= s.budget {
+		return nil
+	}
+	for _, line := range []*list.List{&s.spent, &s.silent, &s.idle} {
+		for e := line.Front(); e != nil; e = line.Front() {
+			c := e.Value.(*clientConn)
+			if line == &s.idle && time.Since(c.since) < idleLeast {
+				break
+			}
+			s.move(c, nil)
+			if c.use.CompareAndSwap(connFree, connClosed) {
+				s.open--
+				return c
+			} // else a request has come just now
+		}
+	}
+	return nil
+}
+
+// crowded says whether there are more connections than the budget even so; they are
+// then closed behind their answers.
+func (s *clients) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open > s.budget
+}
+
+// busy says whether a connection holds a request, or may yet bring its first.
+func (s *clients) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if newest := s.silent.Back(); newest != nil && time.Since(newest.Value.(*clientConn).since) < lingerTime {
+		return true
+	}
+	return s.open > s.silent.Len()+s.idle.Len()+s.spent.Len()
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -102,6 +102,17 @@
 	return f.config()
 }
 
+// Reload reads the file anew. Here its discovery goes before GW_DISCOVERY, which
+// the process was started with and cannot have changed since.
+func Reload(getenv func(string) string) (*Config, error) {
+	return Load(func(name string) string {
+		if name == "GW_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 func (f *file) config() (*Config, error) {
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"lynxspool"
@@ -59,20 +60,29 @@
 
 // Discovery follows the list of hosts and tells the loop of it.
 type Discovery struct {
-	addr    string
 	ask     bool // a watch begins only when the module asks for it
 	asked   chan struct{}
-	version uint64 // of the list as told to the loop; belongs to Run
+	moved   chan struct{} // the address has changed
 	client  http.Client
 	silence time.Duration // after which a watch is taken for dead
+
+	mu      sync.Mutex
+	addr    string
+	moves   int                     // times that addr has changed
+	version uint64                  // of the list at addr as told to the loop
+	leave   context.CancelCauseFunc // ends the watch that is on
 }
 
-var errSilent = errors.New("discovery is silent")
+var (
+	errSilent = errors.New("discovery is silent")
+	errMoved  = errors.New("discovery has moved")
+)
 
 // NewDiscovery returns a Discovery that starts from the known list.
 func NewDiscovery(cfg *Config) *Discovery {
 	return &Discovery{
-		addr: cfg.Discovery, ask: cfg.Settings.Ask, asked: make(chan struct{}, 1), version: cfg.Known.Version,
+		addr: cfg.Discovery, ask: cfg.Settings.Ask, version: cfg.Known.Version,
+		asked: make(chan struct{}, 1), moved: make(chan struct{}, 1),
 		silence: watchSilence,
 		client: http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: watchDial}).DialContext, DisableKeepAlives: true,
@@ -88,6 +98,37 @@
 	}
 }
 
+// Move makes another address the source of the list, at once. What was told stays
+// in use until the new one has said otherwise; versions there count anew.
+func (d *Discovery) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	d.addr, d.version = addr, 0
+	d.moves++
+	if d.leave != nil {
+		d.leave(errMoved)
+	}
+	select {
+	case d.moved <- struct{}{}:
+	default: // Run has yet to see the one before
+	}
+}
+
+// told takes note of a version, unless the watch that brought it has been left: it
+// guards against a last line of the old address coming after a move.
+func (d *Discovery) told(moves int, version uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.moves != moves {
+		return false
+	}
+	d.version = version
+	return true
+}
+
 // Run watches the list until ctx ends. A watch that breaks is begun anew, soon at
 // first; where the module has to ask, it is told instead and decides when.
 func (d *Discovery) Run(ctx context.Context, loop *Loop) {
@@ -98,12 +139,17 @@
 			case <-ctx.Done():
 				return
 			case <-d.asked:
+			case <-d.moved:
 			}
 		}
 		heard, err := d.watch(ctx, loop)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errMoved) {
+			backoff, lost = watchBackoff, false
+			continue
+		}
 		if heard {
 			backoff, lost = watchBackoff, false
 		}
@@ -117,6 +163,9 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-d.moved:
+			backoff, lost = watchBackoff, false
+			continue
 		case <-time.After(backoff):
 		}
 		backoff = min(2*backoff, watchMost)
@@ -127,14 +176,18 @@
 func (d *Discovery) watch(ctx context.Context, loop *Loop) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	d.mu.Lock()
+	addr, version, moves := d.addr, d.version, d.moves
+	d.leave = cancel
+	d.mu.Unlock()
 	silence := time.AfterFunc(d.silence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	defer func() {
-		if context.Cause(ctx) == errSilent {
-			err = errSilent
+		if cause := context.Cause(ctx); cause == errSilent || cause == errMoved {
+			err = cause
 		}
 	}()
-	url := "http://" + d.addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(d.version, 10)
+	url := "http://" + addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(version, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
@@ -158,14 +211,16 @@
 		var list MemberList
 		if err := json.Unmarshal(lines.Bytes(), &list); err != nil {
 			// What it said is lost, so the whole list is wanted.
-			d.version = 0
+			d.told(moves, 0)
 			return false, fmt.Errorf("discovery's line: %w", err)
 		}
 		kind := lynxspool.ListChanges
 		if list.Full {
 			kind = lynxspool.ListFull
 		}
-		d.version = list.Version
+		if !d.told(moves, list.Version) {
+			return heard, errMoved
+		}
 		loop.Members(kind, list)
 	}
 	if err := lines.Err(); err != nil {
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -25,10 +25,19 @@
 	idleShare  = 0.5      // of the hosts' idle limit that we keep a connection: its end must not cross a request
 	sweepEvery = time.Second
 
-	headTimeout      = "X-Timeout"
 	headNotProcessed = "X-Not-Processed" // "1" proves that the attempt never ran
 )
 
+// Headers of requests, as net/http spells them.
+const (
+	headID      = "X-Request-Id"
+	headClass   = "X-Priority-Class"
+	headTenant  = "X-Tenant-Id"
+	headTimeout = "X-Timeout"
+	headRetried = "X-Retried"
+	headKey     = "Idempotency-Key"
+)
+
 // Pool makes the attempts and keeps the connections to all hosts. http.Transport
 // would not do: it sends requests again by itself and dials more connections than
 // it is asked for. Here an attempt writes its request whole once at most.
