--- a/api.go
+++ b/api.go
@@ -175,7 +175,7 @@
 	Wake                     // call Timer with Token at At or soon after
 	Close                    // close the idle connections to Host
 	Watch                    // ask discovery for changes from now on
-	Log                      // a line for those on call
+	Log                      // a line for those on call, about Host if it is not 0
 )
 
 var (
--- a/balancer.go
+++ b/balancer.go
@@ -15,6 +15,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -56,6 +57,8 @@
 	repeatWorth  = 0.5       // worth of a client's repeat while others wait, as a share: it may come late
 	waitShare    = 0.2       // of its aim that a request waits for a host at most
 	sweepShare   = 1.0 / 16  // time between looks at waiting requests and silent hosts, in shortest aims
+	passedAfter  = 3         // later answers of its host after which an attempt was passed by
+	recallAims   = 0.3       // age, in aims, at which one that was passed by is called off
 	spoiltMost   = 2         // spoilt answers of a host in a row from which each is penalised
 	answerSteps  = 2         // steps ahead of its deadline that a request is answered at the latest
 )
@@ -167,6 +170,7 @@
 // the kinds of machine spread evenly, so that every stretch is a fair part of the
 // fleet. Few places change when hosts come and go.
 func (b *Balancer) layRing() {
+	clear(b.ring) // what falls off its end must not be kept
 	b.ring = append(b.ring[:0], b.hosts...)
 	sort.Slice(b.ring, func(i, j int) bool {
 		x, y := b.ring[i], b.ring[j]
@@ -307,9 +311,13 @@
 	r.out--
 	a.host.pending--
 	a.host.flight.remove(&a.link)
+	if a.passedBy() {
+		a.host.passed--
+	}
+	h := a.host
 	b.observe(a, max(o.Elapsed, 0).Seconds())
-	b.settle(r, a, o.Closed)
-	b.forget(a.host)
+	b.settle(r, a, o.Closed) // it may let go of a
+	b.forget(h)
 	b.pump()
 }
 
@@ -456,7 +464,7 @@
 func (b *Balancer) undraw(i int) {
 	h := b.drawn[i]
 	h.drawn = false
-	b.drawn = append(b.drawn[:i], b.drawn[i+1:]...)
+	b.drawn = slices.Delete(b.drawn, i, i+1)
 	b.act(Action{Kind: Close, Host: h.ID})
 }
 
@@ -588,16 +596,54 @@
 // limit below one, on a host whose mean RTT is over the target, means that it is
 // used for that share of the time.
 func (b *Balancer) atLimit(h *host) bool {
-	return h.pending > 0 && float64(h.pending+1) > h.limit || b.now < h.restUntil || b.overdue(h)
+	held := h.pending - h.passed
+	return held > 0 && float64(held+1) > h.limit || b.now < h.restUntil || b.overdue(h)
 }
 
 // overdue says whether the oldest attempt out at a host has taken longer than the
-// target of the limit already.
+// target of the limit already. One that was passed by tells nothing of the host.
 func (b *Balancer) overdue(h *host) bool {
 	n := h.flight.head
+	for n != nil && n.item.passedBy() {
+		n = n.next
+	}
 	return n != nil && float64(b.now-n.item.sent) > overdueAims*float64(n.item.req.class.Aim)
 }
 
+// passedBy says whether the host has answered attempts sent after this one, and so is
+// neither silent nor slow: the fault is with the connection or the request itself.
+func (a *attempt) passedBy() bool { return a.later >= passedAfter }
+
+// overtake counts an answer for the attempts that were sent before it. It guards
+// against taking a host out of use for as long as one connection to it is silent.
+func (b *Balancer) overtake(a *attempt) {
+	for n := a.host.flight.head; n != nil && n.item.sent < a.sent; n = n.next {
+		n.item.later++
+		if n.item.later == passedAfter {
+			a.host.passed++
+		}
+	}
+}
+
+// recall calls off attempts that were passed by and have taken longer than such a
+// request should, and a good part of its aim, so that their requests go out again,
+// where their class allows it. It guards against connections that have gone silent.
+func (b *Balancer) recall(h *host) {
+	for n := h.flight.head; n != nil && h.passed > 0 && b.set.Cancel; n = n.next {
+		a, r := n.item, n.item.req
+		least := max(b.patience(r), Time(recallAims*float64(r.class.Aim)))
+		if !a.passedBy() || a.recall || r.done || b.now-a.sent < least || !b.mayRetry(r) {
+			continue
+		}
+		a.recall = true
+		for i := range r.atts {
+			if r.atts[i] == a {
+				b.act(Action{Kind: Cancel, Request: r.ID, Attempt: i})
+			}
+		}
+	}
+}
+
 // paceCold sets when a cold host may be sent the next attempt. What this instance
 // gets from a warm host, summed over those that share it, is within a warm host's
 // capacity; the cold share of it times the factor is this instance's part, spread by
@@ -646,6 +692,7 @@
 	switch a.result {
 	case OK:
 		h.spoilt = 0
+		b.overtake(a)
 		b.sample(h, b.typical(a, rtt))
 		b.adjust(h, aims, a.req.class.Aim, a.sent)
 		b.press(a, rtt)
@@ -680,6 +727,9 @@
 		}
 		fallthrough
 	case TimedOut:
+		if a.passedBy() {
+			return
+		}
 		b.sample(h, rtt)
 		b.adjust(h, aims, a.req.class.Aim, a.sent)
 		b.press(a, rtt)
@@ -877,6 +927,7 @@
 	b.outNow = 0
 	for _, h := range b.hosts {
 		b.outNow += h.pending
+		b.recall(h)
 		n := h.flight.head // the oldest
 		if n == nil || n.item.sent < h.heard || b.now-n.item.sent < b.patience(n.item.req) {
 			continue
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -44,8 +45,12 @@
 	defaultConnIdle    = time.Minute
 	defaultDialTimeout = 250 * time.Millisecond
 	defaultSockets     = 1024
+	defaultMemory      = 64 // MB
 )
 
+// memory is how many bytes the process may fill.
+func (c *Config) memory() int64 { return int64(cmp.Or(c.MemoryMB, defaultMemory)) << 20 }
+
 // file is the form of GW_CONFIG.
 type file struct {
 	Name      string
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -23,10 +23,21 @@
 )
 
 const (
-	maxBody    = 64 << 10 // of a request or an answer
+	maxBody    = 64 << 10 // of a request, and of an answer that needs no leave
+	maxAnswer  = 1 << 20  // of an answer: some hold 400 KB, whatever the protocol says
 	maxHead    = 16 << 10 // of an answer: many times what a host has to say there
 	idleShare  = 0.5      // of the hosts' idle limit that we keep a connection: its end must not cross a request
 	sweepEvery = time.Second
+	// connectTime is for a connection to come up. In the same hall that takes a fraction
+	// of a millisecond, unless the machine is gone; the proof that nothing ran must come
+	// while there is time for another attempt, and before half of the request's is over.
+	connectTime = 100 * time.Millisecond
+	// unheardLeast is how long a host must have answered nothing for its idle connections
+	// to be closed: several times what most answers take.
+	unheardLeast = 250 * time.Millisecond
+	// largeShare is the part of the memory limit that answers beyond maxBody may fill, all
+	// together, until their clients have them.
+	largeShare = 1.0 / 4
 	// answerTime is for an answer to come whole once it has begun. Hosts write theirs at
 	// once; a lost segment is sent again after some 200 ms.
 	answerTime = 250 * time.Millisecond
@@ -52,6 +63,11 @@
 	maxIdle time.Duration
 	budget  int // connections at most, all hosts together
 
+	unheardLeast time.Duration
+
+	large    atomic.Int64 // bytes of answers beyond maxBody that are held
+	largeMax int64
+
 	mu   sync.Mutex
 	open int               // connections, in use, idle and being dialled
 	idle map[*host][]*conn // the warmest last
@@ -61,6 +77,8 @@
 // Pool.mu guards addr, started and heard.
 type host struct {
 	id      string
+	zone    string // zone and kind are the loop's
+	kind    string
 	usable  atomic.Bool // it takes new requests: not so when draining or gone
 	addr    string
 	started int64     // no connection outlives the process it was made to
@@ -84,10 +102,14 @@
 // NewPool returns a Pool that keeps to the limits of cfg.
 func NewPool(cfg *Config) *Pool {
 	return &Pool{
-		dialer:  net.Dialer{Timeout: cfg.DialTimeout},
+		dialer:  net.Dialer{Timeout: min(cfg.DialTimeout, connectTime)},
 		maxIdle: time.Duration(idleShare * float64(cfg.ConnIdle)),
 		budget:  cfg.Sockets * hostSockets / 100,
-		idle:    map[*host][]*conn{},
+
+		unheardLeast: unheardLeast,
+
+		largeMax: int64(largeShare * float64(cfg.memory())),
+		idle:     map[*host][]*conn{},
 	}
 }
 
@@ -139,11 +161,14 @@
 	}
 }
 
-// unheard follows an attempt that was given up. If the host has answered nothing
-// since, its idle connections may be half-dead: a machine that has vanished leaves
+// unheard follows an attempt that was given up after unheardLeast or more. If the host
+// has answered nothing since, its idle connections may be half-dead: a machine that has vanished leaves
 // them open and silent, and what is written there may have run for all we know. A dial
 // fails soon, which proves that nothing ran.
 func (p *Pool) unheard(h *host, wrote time.Time) {
+	if time.Since(wrote) < p.unheardLeast {
+		return // a client has left: that tells nothing of the host
+	}
 	p.mu.Lock()
 	silent := h.heard.Before(wrote)
 	p.mu.Unlock()
@@ -327,7 +352,7 @@
 		return lynxspool.ConnectFailed, answer{}
 	}
 	wrote := time.Now()
-	status, a, keep, err := c.read()
+	status, a, keep, err := c.read(p)
 	if err != nil && ctx.Err() != nil {
 		p.unheard(c.host, wrote)
 	}
@@ -345,9 +370,11 @@
 	default:
 		return lynxspool.Reset, answer{}
 	}
-	switch {
-	case status == http.StatusOK:
+	if status == http.StatusOK {
 		return lynxspool.OK, a
+	}
+	p.release(a)
+	switch {
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		a.header.Get(headNotProcessed) == "1":
 		return lynxspool.Full, answer{}
@@ -360,11 +387,14 @@
 // read reads one whole answer and says whether the connection can carry another
 // request. What comes but is no answer that is sure to be whole is errSpoilt, at once
 // where it can be told: it guards clients against being served with what no host made.
-func (c *conn) read() (status int, a answer, keep bool, err error) {
+func (c *conn) read(p *Pool) (status int, a answer, keep bool, err error) {
 	began := false
 	defer func() {
 		// Where the connection ends within an answer the host has gone; where it stays
 		// open and no answer comes of what it brings, that is all there will be.
+		if err != nil {
+			p.release(a)
+		}
 		if began && (c.limit.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
 			err = errSpoilt
 		}
@@ -394,9 +424,11 @@
 		began = false // those below come ahead of the answer, which may take its time
 	}
 	c.SetReadDeadline(time.Now().Add(answerTime))
-	c.limit.N = maxBody + maxHead
-	body, err := c.readBody(status, header)
-	if err != nil {
+	c.limit.N = maxAnswer + maxHead
+	if a.held, err = p.hold(header); err != nil {
+		return 0, a, false, err
+	}
+	if a.body, err = c.readBody(status, header); err != nil {
 		return 0, a, false, err
 	}
 	c.SetReadDeadline(time.Time{})
@@ -404,9 +436,30 @@
 	// or noise where the one length fitted, and lengths that did not fit were
 	// contradictory, beyond all bounds or broken chunks. The connection is of no use then.
 	keep = c.in.Buffered() == 0 && proto == "HTTP/1.1" && !strings.Contains(strings.ToLower(header.Get("Connection")), "close")
-	return status, answer{kind: served, header: header, body: body}, keep, nil
+	a.kind, a.header = served, header
+	return status, a, keep, nil
 }
 
+// hold takes leave for an answer that announces more than maxBody. It guards the memory
+// limit; release gives back what was held.
+func (p *Pool) hold(header http.Header) (int64, error) {
+	length := header.Get("Content-Length")
+	n, err := strconv.ParseUint(length, 10, 63)
+	switch {
+	case length == "" || err == nil && n <= maxBody:
+		return 0, nil
+	case err != nil || n > maxAnswer:
+		return 0, errSpoilt
+	case p.large.Add(int64(n)) > p.largeMax:
+		p.large.Add(-int64(n))
+		return 0, errSpoilt // for want of room it is of no use to us
+	}
+	return int64(n), nil
+}
+
+// release is told of each answer that is not needed any more.
+func (p *Pool) release(a answer) { p.large.Add(-a.held) }
+
 const protoPrefix = "HTTP/1."
 
 // readHead reads a status line and the headers. net/http's own reader would not do: it
@@ -439,7 +492,7 @@
 		return nil, errSpoilt
 	case len(lengths) == 1:
 		n, err := strconv.ParseUint(lengths[0], 10, 63)
-		if err != nil || n > maxBody {
+		if err != nil {
 			return nil, errSpoilt
 		}
 		body := make([]byte, n)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -5,7 +5,6 @@
 	"context"
 	"hash/fnv"
 	"log/slog"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -30,8 +29,8 @@
 	hosts  map[lynxspool.HostID]*host
 	open   map[lynxspool.RequestID]*exchange // until over and no attempt is out
 	lastID lynxspool.RequestID
-	zones  map[string]int
-	kinds  map[string]int
+	zones  numbers
+	kinds  numbers
 	ctx    context.Context // of all attempts
 }
 
@@ -64,7 +63,7 @@
 		events: make(chan func(lynxspool.Time), 1024), done: make(chan struct{}),
 		clock: clock{time.Now()}, bal: bal, pool: pool, watch: watch,
 		hosts: map[lynxspool.HostID]*host{}, open: map[lynxspool.RequestID]*exchange{},
-		zones: cfg.Zones, kinds: cfg.Kinds,
+		zones: newNumbers(cfg.Zones), kinds: newNumbers(cfg.Kinds),
 	}, nil
 }
 
@@ -138,7 +137,7 @@
 		for i := range list.Servers {
 			m := &list.Servers[i]
 			e := lynxspool.Host{
-				ID: hostID(m.ID), Zone: number(l.zones, m.Zone), Cell: m.Cell, Kind: number(l.kinds, m.Kind),
+				ID: hostID(m.ID), Zone: l.zones.number(m.Zone), Cell: m.Cell, Kind: l.kinds.number(m.Kind),
 				State: m.state(), Started: lynxspool.Time(m.StartedMS) * lynxspool.Time(time.Millisecond),
 			}
 			h := l.hosts[e.ID]
@@ -147,13 +146,12 @@
 			} else if h == nil {
 				h = &host{id: m.ID}
 				l.hosts[e.ID] = h
-				// The module's lines name a host by its number; once a host is not too many.
-				slog.Info("host listed", "host", m.ID, "number", strconv.FormatUint(uint64(e.ID), 16), "addr", m.Addr)
 			} else if h.id != m.ID {
 				// Two names with one HostID would be taken for one host.
 				slog.Error("host left out: its id collides with another's", "host", m.ID, "other", h.id)
 				continue
 			}
+			h.zone, h.kind = m.Zone, m.Kind
 			listed[e.ID] = true
 			entries = append(entries, e)
 			l.pool.update(h, m.Addr, m.StartedMS, e.State == lynxspool.Ready)
@@ -173,6 +171,8 @@
 		for _, id := range gone {
 			delete(l.hosts, id) // what is still out there holds on to it
 		}
+		l.zones.forget(l.hosts, func(h *host) string { return h.zone })
+		l.kinds.forget(l.hosts, func(h *host) string { return h.kind })
 	} else {
 		l.bal.Hosts(now, kind, nil)
 	}
@@ -190,15 +190,48 @@
 	return lynxspool.HostID(h.Sum64())
 }
 
-// number gives the index of a name; one that the settings lack gets the next, so
-// that two unknown zones are not taken for one.
-func number(index map[string]int, name string) int {
-	n, ok := index[name]
+// numbers counts zones or kinds: as the settings do, and those that the settings lack
+// each by a number of its own, so that two unknown zones are not taken for one. It
+// keeps at most namesSpare names that no host bears; no number is given twice.
+type numbers struct {
+	known map[string]int // of the settings
+	other map[string]int
+	next  int
+}
+
+// namesSpare is how many names may be kept beyond those in use before one looks for
+// which to forget: seldom, and of a size that does not matter.
+const namesSpare = 64
+
+func newNumbers(known map[string]int) numbers {
+	return numbers{known: known, other: map[string]int{}, next: len(known)}
+}
+
+func (n *numbers) number(name string) int {
+	i, ok := n.known[name]
+	if !ok {
+		i, ok = n.other[name]
+	}
 	if !ok {
-		n = len(index)
-		index[name] = n
+		i = n.next
+		n.next++
+		n.other[name] = i
 	}
-	return n
+	return i
+}
+
+// forget drops the names that no host bears, once there are many.
+func (n *numbers) forget(hosts map[lynxspool.HostID]*host, name func(*host) string) {
+	if len(n.other) <= len(hosts)+namesSpare {
+		return
+	}
+	used := make(map[string]int, len(hosts))
+	for _, h := range hosts {
+		if i, ok := n.other[name(h)]; ok {
+			used[name(h)] = i
+		}
+	}
+	n.other = used
 }
 
 // perform carries out what the Balancer has decided.
@@ -226,7 +259,11 @@
 		case lynxspool.Watch:
 			l.watch()
 		case lynxspool.Log:
-			slog.Info(a.Text)
+			if h := l.hosts[a.Host]; h != nil {
+				slog.Info(a.Text, "host", h.id)
+			} else {
+				slog.Info(a.Text)
+			}
 		}
 	}
 }
@@ -261,8 +298,8 @@
 // itself; the Balancer is told so.
 func (l *Loop) ended(now lynxspool.Time, x *exchange, n int, took time.Duration, result lynxspool.Result, good answer) {
 	x.out--
-	if result == lynxspool.OK {
-		x.finish(good)
+	if result == lynxspool.OK && !x.finish(good) {
+		l.pool.release(good)
 	}
 	l.bal.Outcome(now, lynxspool.Outcome{
 		Request: x.id, Attempt: n, Result: result,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -66,8 +66,7 @@
 
 	// bodyShare is the part of the memory limit that the bodies of all requests may
 	// fill. A request out holds its body and a copy as sent; an answer as much again.
-	bodyShare     = 1.0 / 8
-	defaultMemory = 64 // MB, where no limit is told
+	bodyShare = 1.0 / 8
 	// fullRetryAfter is when a request turned away for want of memory may come back:
 	// most are answered within it.
 	fullRetryAfter = 100 * time.Millisecond
@@ -96,6 +95,7 @@
 // answer is the final answer to a request.
 type answer struct {
 	kind       answerKind
+	held       int64       // of its body, to be given back to the Pool
 	header     http.Header // served
 	body       []byte      // served
 	retryAfter time.Duration
@@ -113,11 +113,13 @@
 // gives the answer, so that there is one.
 func (x *exchange) close() bool { return x.over.CompareAndSwap(false, true) }
 
-// finish gives the answer if there is none yet.
-func (x *exchange) finish(a answer) {
-	if x.close() {
+// finish gives the answer if there is none yet, and says whether it did.
+func (x *exchange) finish(a answer) bool {
+	won := x.close()
+	if won {
 		x.answer <- a
 	}
+	return won
 }
 
 // Server is the side of the clients.
@@ -141,11 +143,7 @@
 	s := &Server{cfg: cfg, loop: loop}
 	s.clients.budget = cfg.Sockets * clientSockets / 100
 	s.clients.most = cfg.Sockets * (clientSockets + clientSpare) / 100
-	memory := cfg.MemoryMB
-	if memory == 0 {
-		memory = defaultMemory
-	}
-	s.bodiesMax = int64(bodyShare * float64(memory) * (1 << 20))
+	s.bodiesMax = int64(bodyShare * float64(cfg.memory()))
 	for _, c := range cfg.Settings.Classes {
 		s.longest = max(s.longest, c.Deadline)
 	}
@@ -217,6 +215,8 @@
 	case <-r.Context().Done():
 		if x.close() {
 			s.loop.Abandon(x)
+		} else {
+			s.loop.pool.release(<-x.answer)
 		}
 		return
 	case <-late.C:
@@ -229,6 +229,7 @@
 		}
 	}
 	write(w, a)
+	s.loop.pool.release(a)
 }
 
 // turnAway answers a request that goes to no host. The connection ends with the
@@ -333,10 +334,6 @@
 	}
 	// No client waits longer than the deadline of the class.
 	left := time.Duration(min(seconds, rules.Deadline.Seconds()) * float64(time.Second))
-	x.deadline = came.Add(left - answerMargin)
-	if s.stopping.Load() && x.deadline.After(s.exitAt) {
-		x.deadline = s.exitAt
-	}
 	if !s.ids.start(id, came) {
 		// Another client's: two requests under one id can't be told apart by hosts.
 		return nil, "", bad(http.StatusConflict, "%s: in use", headID)
@@ -345,6 +342,14 @@
 		s.ids.end(id)
 		return nil, "", err
 	}
+	// A request's time counts from its last byte, which may come long after its first.
+	if r.ContentLength > 0 {
+		came = time.Now()
+	}
+	x.deadline = came.Add(left - answerMargin)
+	if s.stopping.Load() && x.deadline.After(s.exitAt) {
+		x.deadline = s.exitAt
+	}
 	// The time for reading is over; left standing it would end the wait for the answer.
 	c.SetReadDeadline(time.Time{})
 	return x, id, nil
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -70,6 +71,7 @@
 	sampled   bool // else it has the seed of its kind
 	pending   int
 	flight    list[attempt] // in the order sent
+	passed    int           // those of it that were passed by
 	heard     Time          // last answer of any kind
 	limit     float64       // attempts it may hold from this instance
 	lat       mean          // RTT of answers and time-outs in aims, not decayed
@@ -111,6 +113,8 @@
 	ended  bool
 	result Result
 	trial  bool
+	later  int           // answers of its host to attempts sent after it
+	recall bool          // it is called off so that its request can be sent again
 	link   node[attempt] // at its host
 }
 
@@ -214,11 +218,8 @@
 		return
 	}
 	delete(b.byID, h.ID)
-	for i := range b.hosts {
-		if b.hosts[i] == h {
-			b.hosts = append(b.hosts[:i], b.hosts[i+1:]...)
-			return
-		}
+	if i := slices.Index(b.hosts, h); i >= 0 {
+		b.hosts = slices.Delete(b.hosts, i, i+1) // it clears what it leaves behind
 	}
 }
 
@@ -242,7 +243,12 @@
 		return
 	}
 	delete(b.reqs, r.ID)
+	for _, a := range r.atts {
+		*a = attempt{} // it must not keep a host that has gone
+	}
 	b.freeAtt = append(b.freeAtt, r.atts...)
+	clear(r.atts)
+	*r = request{atts: r.atts[:0]}
 	b.freeReq = append(b.freeReq, r)
 }
 
@@ -253,7 +259,6 @@
 	}
 	r := b.freeReq[n-1]
 	b.freeReq = b.freeReq[:n-1]
-	*r = request{atts: r.atts[:0]}
 	return r
 }
 
@@ -264,7 +269,6 @@
 	}
 	a := b.freeAtt[n-1]
 	b.freeAtt = b.freeAtt[:n-1]
-	*a = attempt{}
 	return a
 }
 
@@ -315,11 +319,17 @@
 		return
 	}
 	text := fmt.Sprintf(format, args...)
+	var about HostID
+	for _, a := range args {
+		if id, ok := a.(HostID); ok {
+			about = id
+		}
+	}
 	if l.held > 0 {
 		text += fmt.Sprintf(" (%d more such lines held back)", l.held)
 	}
 	*l = logLine{at: b.now, said: true}
-	b.act(Action{Kind: Log, Text: text})
+	b.act(Action{Kind: Log, Text: text, Host: about})
 }
 
 // nextRand is splitmix64: small, seeded, and the same everywhere.
