Eject hosts that answer with errors; sparser use of passed-by attempts

The penalty stood in their estimates; but ready hosts at their in-flight limits are not compared, so the failing ones, always free, were often the only choice. Change: share of errors as a moving mean; above a half (the third in a row) an error ejects, and good answers readmit only below it, one trial at a time.

--- a/balancer.go
+++ b/balancer.go
@@ -57,6 +57,8 @@
 	repeatWorth  = 0.5       // worth of a client's repeat while others wait, as a share: it may come late
 	waitShare    = 0.2       // of its aim that a request waits for a host at most
 	sweepShare   = 1.0 / 16  // time between looks at waiting requests and silent hosts, in shortest aims
+	errorWeight  = 0.25      // weight of an answer in a host's share of errors
+	errorsMost   = 0.5       // share from which an error ejects: the third in a row
 	passedAfter  = 3         // later answers of its host after which an attempt was passed by
 	recallAims   = 0.3       // age, in aims, at which one that was passed by is called off
 	spoiltMost   = 2         // spoilt answers of a host in a row from which each is penalised
@@ -311,9 +313,6 @@
 	r.out--
 	a.host.pending--
 	a.host.flight.remove(&a.link)
-	if a.passedBy() {
-		a.host.passed--
-	}
 	h := a.host
 	b.observe(a, max(o.Elapsed, 0).Seconds())
 	b.settle(r, a, o.Closed) // it may let go of a
@@ -596,8 +595,7 @@
 // limit below one, on a host whose mean RTT is over the target, means that it is
 // used for that share of the time.
 func (b *Balancer) atLimit(h *host) bool {
-	held := h.pending - h.passed
-	return held > 0 && float64(held+1) > h.limit || b.now < h.restUntil || b.overdue(h)
+	return h.pending > 0 && float64(h.pending+1) > h.limit || b.now < h.restUntil || b.overdue(h)
 }
 
 // overdue says whether the oldest attempt out at a host has taken longer than the
@@ -619,9 +617,6 @@
 func (b *Balancer) overtake(a *attempt) {
 	for n := a.host.flight.head; n != nil && n.item.sent < a.sent; n = n.next {
 		n.item.later++
-		if n.item.later == passedAfter {
-			a.host.passed++
-		}
 	}
 }
 
@@ -629,7 +624,7 @@
 // request should, and a good part of its aim, so that their requests go out again,
 // where their class allows it. It guards against connections that have gone silent.
 func (b *Balancer) recall(h *host) {
-	for n := h.flight.head; n != nil && h.passed > 0 && b.set.Cancel; n = n.next {
+	for n := h.flight.head; n != nil && b.set.Cancel; n = n.next {
 		a, r := n.item, n.item.req
 		least := max(b.patience(r), Time(recallAims*float64(r.class.Aim)))
 		if !a.passedBy() || a.recall || r.done || b.now-a.sent < least || !b.mayRetry(r) {
@@ -692,6 +687,7 @@
 	switch a.result {
 	case OK:
 		h.spoilt = 0
+		h.errors -= errorWeight * h.errors
 		b.overtake(a)
 		b.sample(h, b.typical(a, rtt))
 		b.adjust(h, aims, a.req.class.Aim, a.sent)
@@ -700,16 +696,29 @@
 			b.served.add(b.now, b.rateSpan())
 			b.warm.add(b.served.now(b.now, b.rateSpan()) / float64(b.used))
 		}
-		b.readmit(h)
+		if h.errors < errorsMost {
+			b.readmit(h)
+		}
+		h.heard = b.now
 	case Full:
 		// What is full takes no more: its refusals come at once, and a host that
 		// gives nothing else would draw all that waits. Acts on each such refusal.
 		b.adjust(h, max(aims, 1), a.req.class.Aim, a.sent)
 		b.press(a, max(rtt, a.req.class.Aim.Seconds()))
-		fallthrough
-	case Failed:
 		b.sample(h, max(rtt, b.penalty))
 		b.readmit(h)
+	case Failed:
+		// The penalty alone keeps a host that gives errors from being chosen beside
+		// another; but those that serve are often at their limits, and then it would
+		// draw what waits, the more the faster it fails. Acts from the third in a row.
+		b.sample(h, max(rtt, b.penalty))
+		h.errors += errorWeight * (1 - h.errors)
+		if h.errors > errorsMost {
+			h.heard = b.now
+			b.eject(h, "errors")
+		} else {
+			b.readmit(h)
+		}
 	case Spoilt:
 		// The host did the work and took that long; what spoils answers on their way
 		// may do so to any host's. One that gives nothing else counts as failing.
@@ -727,9 +736,6 @@
 		}
 		fallthrough
 	case TimedOut:
-		if a.passedBy() {
-			return
-		}
 		b.sample(h, rtt)
 		b.adjust(h, aims, a.req.class.Aim, a.sent)
 		b.press(a, rtt)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1398,3 +1398,104 @@
 		}
 	}
 }
+
+// A host that answers with errors is ejected from the third in a row, and after one good
+// answer it is still tried one attempt at a time. It guards against a host that fails
+// fast and draws all that waits while those that serve are at their limits.
+func TestHostOfErrorsIsEjected(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	for i := range 3 {
+		if g.b.ejected(h) {
+			t.Fatalf("ejected after %d errors", i)
+		}
+		g.outcome(g.request(2, time.Second), 0, Failed, ms)
+	}
+	if !g.b.ejected(h) {
+		t.Fatal("it is not ejected after three errors")
+	}
+	for _, r := range []Result{Failed, OK} {
+		g.now = h.ejectUntil
+		g.b.now = g.now
+		id := g.request(2, time.Second)
+		g.sole(Send)
+		if !g.b.ejected(h) {
+			t.Error("a second attempt may go out beside the trial")
+		}
+		g.outcome(id, 0, r, ms)
+	}
+	if h.fails == 0 {
+		t.Error("one good answer readmits it")
+	}
+	for range 3 {
+		g.outcome(g.request(2, time.Second), 0, OK, ms)
+	}
+	if h.fails != 0 {
+		t.Error("good answers in a row do not readmit it")
+	}
+}
+
+// What came spoilt had taken its time at a host that works: no penalty and no ejection,
+// unless the host gives nothing else.
+func TestSpoiltAnswerTellsLittleOfTheHost(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	id := g.request(2, time.Second)
+	g.outcome(id, 0, Spoilt, 5*ms)
+	if g.sole(Fail).Request != id { // it may have run
+		t.Error("another request was answered")
+	}
+	if got := g.b.estimate(h); got > 0.1 || g.b.ejected(h) { // the seed
+		t.Errorf("estimate %v, ejected %v", got, g.b.ejected(h))
+	}
+	id = g.request(0, time.Second)
+	g.outcome(id, 0, Spoilt, 5*ms)
+	if g.sole(Send).Request != id {
+		t.Error("a safe request is not sent again")
+	}
+	if got := g.b.estimate(h); got < g.b.penalty {
+		t.Errorf("estimate %v after two in a row, want the penalty %v", got, g.b.penalty)
+	}
+}
+
+// An attempt passed by later answers of its host does not keep others from the host,
+// and is called off and sent again where its class allows. It guards against one silent
+// connection putting a host that works out of use.
+func TestPassedByAttempt(t *testing.T) {
+	for class, again := range []bool{true, true, false} {
+		g := start(t, basic(), hosts(1)...)
+		h := g.b.hosts[0]
+		h.limit = 8
+		id := g.request(class, time.Second)
+		g.advance(ms)
+		for range passedAfter {
+			g.outcome(g.request(0, time.Second), 0, OK, ms)
+			g.advance(ms)
+		}
+		var called []Action
+		for range 20 {
+			for _, a := range g.advance(15 * ms) {
+				if a.Kind == Cancel {
+					called = append(called, a)
+				}
+			}
+			g.outcome(g.request(0, time.Second), 0, OK, ms) // others are answered meanwhile
+		}
+		if g.b.overdue(h) {
+			t.Errorf("class %d: the host gets nothing more", class)
+		}
+		if !again {
+			if len(called) > 0 {
+				t.Errorf("class %d: %v", class, called)
+			}
+			continue
+		}
+		if len(called) != 1 || called[0].Request != id || called[0].Attempt != 0 {
+			t.Fatalf("class %d: called off %v, want the one attempt once", class, called)
+		}
+		g.outcome(id, 0, Canceled, 300*ms)
+		if g.sole(Send).Request != id {
+			t.Errorf("class %d: it is not sent again", class)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -71,15 +71,15 @@
 	sampled   bool // else it has the seed of its kind
 	pending   int
 	flight    list[attempt] // in the order sent
-	passed    int           // those of it that were passed by
 	heard     Time          // last answer of any kind
 	limit     float64       // attempts it may hold from this instance
 	lat       mean          // RTT of answers and time-outs in aims, not decayed
 	cutAt     Time          // last cut of the limit
 	restUntil Time          // with a limit below one: when it may be used again
 
-	spoilt     int // spoilt answers since the last good one
-	fails      int // ejections since the last good answer
+	errors     float64 // their share of its last answers
+	spoilt     int     // spoilt answers since the last good one
+	fails      int     // ejections since the last good answer
 	ejectUntil Time
 	trialOut   bool // the one attempt of a host on trial is out
 
