--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -132,10 +132,13 @@
 	if s.open <= s.budget {
 		return nil
 	}
-	for _, line := range []*list.List{&s.spent, &s.silent, &s.idle} {
-		for e := line.Front(); e != nil; e = line.Front() {
+	for _, use := range []struct {
+		line  *list.List
+		least time.Duration // that a connection must have stood there
+	}{{&s.spent, 0}, {&s.silent, silentLeast}, {&s.idle, idleLeast}, {&s.silent, 0}} {
+		for e := use.line.Front(); e != nil; e = use.line.Front() {
 			c := e.Value.(*clientConn)
-			if line == &s.idle && time.Since(c.since) < idleLeast {
+			if time.Since(c.since) < use.least {
 				break
 			}
 			s.move(c, nil)
@@ -148,12 +151,12 @@
 	return nil
 }
 
-// crowded says whether there are more connections than the budget even so; they are
-// then closed behind their answers.
+// crowded says whether the budget is nearly used up; connections are then closed behind
+// their answers. It guards against filling up with those that were used a moment ago.
 func (s *clients) crowded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.open > s.budget
+	return s.open*100 > s.budget*crowdedShare
 }
 
 // busy says whether a connection holds a request, or may yet bring its first.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -26,8 +26,11 @@
 // discovery and the runtime: 25 at the least limit in service, 256.
 const (
 	clientSockets = 48
-	clientSpare   = 2 // beyond those, for connections that end with the answer
+	clientSpare   = 2 // beyond those, before a new connection is closed at once
 	hostSockets   = 42
+	// From this share of the clients' part on, connections end with their answers: in a
+	// crowd each is used once, and may not be closed for idleLeast if it stays open.
+	crowdedShare = 65
 )
 
 const (
@@ -56,6 +59,10 @@
 	// is need of room: a close sooner may cross a request that the client has begun.
 	idleLeast = 2 * time.Second
 
+	// silentLeast is how long a connection is given to bring its first request while
+	// others can be closed: in a crowd many have just come and are yet to be read.
+	silentLeast = 100 * time.Millisecond
+
 	// maxRequestHead holds any head in the protocol's form several times over; net/http
 	// adds 4 KiB. Clients by the hundred may send that much at once.
 	maxRequestHead = 8 << 10
