Hear out a client that sent too much, so that it sees why

Such a body was left unread behind the 413, and where the client had said Connection: close, net/http closes without reading on (transfer.go, Close of a body: closing the connection next, no point in reading to EOF); a close with bytes unread is a reset, which may overtake the answer. Ruled out: no room (1,024 descriptors in the test), the read time-out (it failed in 0.00 s).

The answer is now flushed, then up to 256 KiB are read for 500 ms at most. The new test fails without it, each time.

--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -297,3 +297,31 @@
 		t.Errorf("%+v, %v", resp, err)
 	}
 }
+
+// A client that sent too much sees the answer and an orderly end. It guards against
+// closing with bytes unread: that resets the connection, at times before the answer.
+func TestErrorIsSeenByWhoSentTooMuch(t *testing.T) {
+	server := newHost(t, says(good))
+	g := startGateway(t, testConfig(server))
+	body := strings.Repeat("x", maxBody+1)
+	for _, line := range []string{"", "Connection: close\r\n"} {
+		c := g.dial()
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(c, "POST /api/1 HTTP/1.1\r\nHost: a\r\nX-Priority-Class: book\r\nX-Timeout: 60\r\n"+
+			"X-Request-ID: %s\r\nContent-Length: %d\r\n%s\r\n%s", newID(), len(body), line, body[:maxBody/2])
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Fatalf("%q: %v, %v, want 413 while half of the body is to come", line, resp, err)
+		}
+		if _, err := io.WriteString(c, body[maxBody/2:]); err != nil {
+			t.Errorf("%q: the body: %v", line, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Errorf("%q: the answer: %v", line, err)
+		}
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("%q: it ended with %v, want an orderly end", line, err)
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -54,7 +54,11 @@
 	// that has not is owed an error or a close within 3 s of connecting.
 	requestTimeout = 2500 * time.Millisecond
 	writeTimeout   = 10 * time.Second // for a client to take its answer
-	idleTimeout    = 15 * time.Second // for a connection with no request: some are never used again
+	// What a client goes on sending behind an error is read for drainTime, drainBytes at
+	// most: enough for whoever was a little over the limit to see why.
+	drainTime   = 500 * time.Millisecond
+	drainBytes  = 4 * maxBody
+	idleTimeout = 15 * time.Second // for a connection with no request: some are never used again
 	// idleLeast is how long a connection with no request is left open even when there
 	// is need of room: a close sooner may cross a request that the client has begun.
 	idleLeast = 2 * time.Second
@@ -208,7 +212,7 @@
 	}
 	x, id, err := s.read(c, r, came)
 	if err != nil {
-		s.turnAway(w, c, err)
+		s.turnAway(w, r, c, err)
 		return
 	}
 	defer s.ids.end(id)
@@ -242,7 +246,7 @@
 // turnAway answers a request that goes to no host. The connection ends with the
 // answer: what comes behind a bad request is not to be trusted, and a body that is
 // not read would be taken for the next one.
-func (s *Server) turnAway(w http.ResponseWriter, c *clientConn, err error) {
+func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, c *clientConn, err error) {
 	status := http.StatusBadRequest
 	var bad *badRequest
 	if errors.As(err, &bad) {
@@ -254,6 +258,15 @@
 	}
 	http.Error(w, err.Error(), status)
 	s.clients.spend(c)
+	if r.ContentLength == 0 {
+		return
+	}
+	// A close with bytes unread resets the connection, and the reset may overtake the
+	// answer. So the answer goes out first and then the client is heard a little more.
+	// If a part of this fails the client has gone.
+	http.NewResponseController(w).Flush()
+	c.SetReadDeadline(time.Now().Add(drainTime))
+	io.CopyN(io.Discard, r.Body, drainBytes)
 }
 
 // health tells the front whether requests can be served.
