Stopping: serve open connections until shortly before the exit; in a crowd close what is of no use first

Traced on port 9000: requests end 0.5 s after SIGTERM, as every answer said Connection: close from the first on and idle connections were closed at 0.6 s, and no new connection comes after 0.4 s; the process would have had 1.84 s. Ruled out: the start (it serves 1 ms after it is begun), lost requests (none).

Such ones now give way from the threshold on, after 2 s and 1 s; while stopping a crowd ends no connection.

--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -64,8 +64,9 @@
 	loop.Members(lynxspool.ListSaved, cfg.Known)
 	go discovery.Run(ctx, loop)
 	server := gateway.NewServer(cfg, loop)
+	server.Listen(ln)
 	broken := make(chan error, 1)
-	go func() { broken <- server.Serve(ln) }()
+	go func() { broken <- server.Serve() }()
 	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 	for {
 		select {
--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"container/list"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -218,6 +221,88 @@
 	}
 }
 
+// Connections that nobody has used for long, or ever, give way in a crowd, and with them
+// the crowd ends: it guards against making all others pay for them, each request with a
+// connection of its own.
+func TestCrowdEnds(t *testing.T) {
+	cfg := testConfig(newHost(t, says(good)))
+	cfg.Sockets = 128
+	g := startGateway(t, cfg)
+	clients := &g.server.clients
+	for i := 0; !clients.crowded(); i++ {
+		if i > clients.budget {
+			t.Fatal("no crowd")
+		}
+		if c := g.dial(); i%2 == 0 {
+			if err := asked(c); err != nil {
+				t.Fatal(err)
+			}
+		} else {
+			open := func() int { clients.mu.Lock(); defer clients.mu.Unlock(); return clients.silent.Len() }
+			until(t, "it is accepted", func() bool { return open() > i/2 })
+		}
+	}
+	clients.mu.Lock()
+	for _, l := range []*list.List{&clients.idle, &clients.silent} {
+		for e := l.Front(); e != nil; e = e.Next() {
+			c := e.Value.(*clientConn)
+			c.since = c.since.Add(-idleLeast)
+		}
+	}
+	clients.mu.Unlock()
+	for i := 0; clients.crowded(); i++ {
+		if i > 2*clients.budget {
+			t.Fatal("connections of no use keep up the crowd")
+		}
+		g.ask("look", "/api/1", "") // by a connection of its own
+	}
+}
+
+// Clients with a connection are served on it long after the signal to stop, as they may
+// have no other gateway; shortly before the exit they are asked to leave, and no request
+// fails on the way. It guards against leaving them with nothing until the next start.
+func TestStoppingServesOpenConnections(t *testing.T) {
+	g := startGateway(t, testConfig(newHost(t, says(good))))
+	c := g.dial()
+	in := bufio.NewReader(c)
+	c.SetDeadline(time.Now().Add(patience))
+	stopped := make(chan struct{})
+	go func() {
+		g.server.Stop()
+		close(stopped)
+	}()
+	refused := func() bool {
+		nc, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+		if err == nil {
+			nc.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	served := 0 // once the listener was closed
+	for {
+		io.WriteString(c, look(newID()))
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("after %d requests: %v, %v", served, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.Close {
+			break
+		}
+		if served > 0 || refused() {
+			served++
+		}
+		time.Sleep(pollEvery)
+	}
+	if served == 0 {
+		t.Error("asked to leave as soon as nobody new comes")
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("the connection ends with %v", err)
+	}
+	<-stopped
+}
+
 // Hundreds of connections that say nothing leave room for those that bring requests, at
 // the least number of descriptors in service; so do those idle for long, but none that
 // was used a moment ago is closed.
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -12,9 +12,10 @@
 
 // clients keeps the connections of clients within their budget of descriptors. Beyond
 // it, what is of least use is closed: first connections that are done with, then those
-// that have brought no request yet, oldest first, then those idle for idleLeast. It
-// guards against running out of descriptors with requests in the backlog, and costs the
-// same however many connections there are.
+// that have brought no request yet, oldest first, then those idle for idleLeast. In a
+// crowd that begins before the budget is used up, with what has been of no use for long.
+// It guards against running out of descriptors with requests in the backlog, and costs
+// the same however many connections there are.
 type clients struct {
 	budget int // what makes room is closed beyond it
 	most   int // a connection beyond that is closed at once
@@ -127,15 +128,24 @@
 	}
 }
 
+// use is a line to make room from, and how long a connection must have stood there.
+type use struct {
+	line  *list.List
+	least time.Duration
+}
+
 // makeRoom picks the connection to close if there are too many; mu is held.
 func (s *clients) makeRoom() *clientConn {
-	if s.open <= s.budget {
-		return nil
+	var from []use
+	switch {
+	case s.open > s.budget:
+		from = []use{{&s.spent, 0}, {&s.silent, silentLeast}, {&s.idle, idleLeast}, {&s.silent, 0}}
+	case s.crowd():
+		// It guards against connections that nobody uses any more: while they make a
+		// crowd, every other client pays a handshake for each of its requests.
+		from = []use{{&s.silent, silentCrowded}, {&s.idle, idleLeast}}
 	}
-	for _, use := range []struct {
-		line  *list.List
-		least time.Duration // that a connection must have stood there
-	}{{&s.spent, 0}, {&s.silent, silentLeast}, {&s.idle, idleLeast}, {&s.silent, 0}} {
+	for _, use := range from {
 		for e := use.line.Front(); e != nil; e = use.line.Front() {
 			c := e.Value.(*clientConn)
 			if time.Since(c.since) < use.least {
@@ -156,7 +166,20 @@
 func (s *clients) crowded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.open*100 > s.budget*crowdedShare
+	return s.crowd()
+}
+
+// crowd says whether the budget is nearly used up; mu is held.
+func (s *clients) crowd() bool { return s.open*100 > s.budget*crowdedShare }
+
+// inUse says whether a client has a connection to ask on, or may yet bring a request.
+func (s *clients) inUse() bool {
+	if s.busy() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idle.Len() > 0
 }
 
 // busy says whether a connection holds a request, or may yet bring its first.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -63,7 +63,8 @@
 	g.url = "http://" + ln.Addr().String()
 	go pool.Run(ctx)
 	go loop.Run(ctx)
-	go g.server.Serve(ln)
+	g.server.Listen(ln)
+	go g.server.Serve()
 	loop.Members(lynxspool.ListSaved, cfg.Known)
 	t.Cleanup(func() {
 		g.server.http.Close()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -28,8 +28,9 @@
 	clientSockets = 48
 	clientSpare   = 2 // beyond those, before a new connection is closed at once
 	hostSockets   = 42
-	// From this share of the clients' part on, connections end with their answers: in a
-	// crowd each is used once, and may not be closed for idleLeast if it stays open.
+	// From this share of the clients' part on there is a crowd: those of no use for long
+	// are closed, and the others end with their answers, as in a crowd each is used once
+	// and may not be closed for idleLeast if it stays open.
 	crowdedShare = 65
 )
 
@@ -49,6 +50,12 @@
 	exitTime     = 700 * time.Millisecond
 	exitDeadline = 3 * time.Second
 	stopMargin   = 100 * time.Millisecond
+	// Clients use the connections that they have for as long as these stay open, and may
+	// have no other gateway to go to. So they are asked to leave only leaveTime before
+	// the exit: most connections in use carry a request within it. At closeTime before the
+	// exit those without one are closed; most requests out then are still answered.
+	leaveTime = 300 * time.Millisecond
+	closeTime = 100 * time.Millisecond
 
 	// requestTimeout is for a client to get a request through, head and body. A client
 	// that has not is owed an error or a close within 3 s of connecting.
@@ -62,6 +69,9 @@
 	// idleLeast is how long a connection with no request is left open even when there
 	// is need of room: a close sooner may cross a request that the client has begun.
 	idleLeast = 2 * time.Second
+	// silentCrowded is how long a connection may bring nothing before it is closed in a
+	// crowd: clients open one when they have a request.
+	silentCrowded = time.Second
 
 	// silentLeast is how long a connection is given to bring its first request while
 	// others can be closed: in a crowd many have just come and are yet to be read.
@@ -145,8 +155,10 @@
 	bodies    atomic.Int64 // bytes of bodies held now
 	bodiesMax int64
 
+	listener net.Listener // set by Serve
 	stopping atomic.Bool
-	exitAt   time.Time // set before stopping: all answers are due by then
+	exitAt   time.Time   // set before stopping: all answers are due by then
+	leaving  atomic.Bool // connections end with their answers
 }
 
 // NewServer returns a Server that hands requests to loop.
@@ -174,25 +186,42 @@
 	return s
 }
 
-// Serve takes requests from ln until Stop has closed it.
-func (s *Server) Serve(ln net.Listener) error {
-	if err := s.http.Serve(clientListener{ln}); !errors.Is(err, http.ErrServerClosed) {
-		return err
+// Listen makes ln what Serve takes requests from.
+func (s *Server) Listen(ln net.Listener) { s.listener = clientListener{ln} }
+
+// Serve takes requests until Stop has closed the listener.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
-// Stop ends service in order: it goes on taking what still comes, asking clients to
-// leave, then closes the listener and idle connections and waits for what was taken.
+// Stop ends service in order: it goes on taking what still comes, closes the listener
+// when nobody new will come, serves whoever has a connection until shortly before the
+// exit, then asks clients to leave, closes idle connections and waits for what was taken.
 func (s *Server) Stop() {
 	now := time.Now()
 	s.exitAt = now.Add(exitTime + min(s.longest, exitDeadline) - stopMargin)
 	s.stopping.Store(true)
 	time.Sleep(lingerTime)
+	s.listener.Close() // it can fail only by being closed
+	s.wait(s.clients.inUse, s.exitAt.Add(-leaveTime))
+	s.leaving.Store(true)
+	s.wait(s.clients.inUse, s.exitAt.Add(-closeTime))
 	ctx, cancel := context.WithDeadline(context.Background(), s.exitAt)
 	defer cancel()
 	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
-	for tick := time.NewTicker(10 * time.Millisecond); s.clients.busy() && time.Now().Before(s.exitAt); <-tick.C {
+	s.wait(s.clients.busy, s.exitAt)
+}
+
+// wait returns when what it is given no longer holds, or at the time until.
+func (s *Server) wait(holds func() bool, until time.Time) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for holds() && time.Now().Before(until) {
+		<-tick.C
 	}
 }
 
@@ -203,7 +232,7 @@
 	if c.use.Load() == connClosed {
 		return // its connection was closed to make room, so nothing may go out for it
 	}
-	if s.stopping.Load() || s.clients.crowded() {
+	if s.leaving.Load() || !s.stopping.Load() && s.clients.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.Method == http.MethodGet && r.URL.Path == pathHealth {
