Errors put a host out for their class alone; one broken connection does not eject; connections are used in turn

Peers reset connections of any host alike, and each reset ejected its host: 6 of 10 were out, 3,000 times. Hosts end connections up to 25 ms behind an answer (913 traced); with the warmest used again, 446 requests were written to such. Ruled out: memory (7 of 64 MB), descriptors (96 of 384), our own delay (90 us).

Lines: observe (Failed, Reset), pick; Pool.get.

--- a/balancer.go
+++ b/balancer.go
@@ -57,11 +57,12 @@
 	repeatWorth  = 0.5       // worth of a client's repeat while others wait, as a share: it may come late
 	waitShare    = 0.2       // of its aim that a request waits for a host at most
 	sweepShare   = 1.0 / 16  // time between looks at waiting requests and silent hosts, in shortest aims
-	errorWeight  = 0.25      // weight of an answer in a host's share of errors
-	errorsMost   = 0.5       // share from which an error ejects: the third in a row
+	errorWeight  = 0.25      // weight of an answer in a host's share of errors in a class
+	errorsMost   = 0.5       // share from which it is out for the class: the third in a row
+	errorsLeast  = 0.25      // share below which it is taken for mended
 	passedAfter  = 3         // later answers of its host after which an attempt was passed by
 	recallAims   = 0.3       // age, in aims, at which one that was passed by is called off
-	spoiltMost   = 2         // spoilt answers of a host in a row from which each is penalised
+	spoiltMost   = 2         // spoilt or broken answers of a host in a row from which each counts
 	answerSteps  = 2         // steps ahead of its deadline that a request is answered at the latest
 )
 
@@ -230,7 +231,7 @@
 		if e.State == Removed {
 			return
 		}
-		h = &host{heard: b.now, rttAt: b.now}
+		h = &host{heard: b.now, rttAt: b.now, class: make([]failing, len(b.set.Classes))}
 		h.mark = mix(uint64(e.ID))
 		b.byID[e.ID] = h
 		b.hosts = append(b.hosts, h)
@@ -373,12 +374,16 @@
 	if r.class.Effect == Keyed && r.first() != nil {
 		from = b.ring // its group may lie outside
 	}
-	listed, out := 0, 0
+	listed, out, shunned := 0, 0, 0
 	b.ready = b.ready[:0]
 	for _, h := range from {
 		if h.State != Ready || !b.allows(r, h) {
 			continue
 		}
+		if b.shunned(h, r.Class) {
+			shunned++
+			continue
+		}
 		listed++
 		switch {
 		case b.ejected(h):
@@ -388,12 +393,19 @@
 			b.ready = append(b.ready, h)
 		}
 	}
+	// With errors for the class everywhere, one is as good as another.
+	for i := 0; listed == 0 && shunned > 0 && i < len(from); i++ {
+		if h := from[i]; h.State == Ready && b.allows(r, h) && !b.coldHold(h) && !b.atLimit(h) {
+			b.ready = append(b.ready, h)
+		}
+	}
 	// Fail open: when most hosts are out, the fault is more likely the path or
 	// the load than every host, and the few left must not take it all.
 	if out*2 > listed {
 		b.log(logFailOpen, "%d of %d hosts are ejected, using them all the same", out, listed)
 		for _, h := range from {
-			if h.State == Ready && b.allows(r, h) && b.ejected(h) && !b.coldHold(h) && !b.atLimit(h) {
+			if h.State == Ready && b.allows(r, h) && b.ejected(h) && !b.shunned(h, r.Class) &&
+				!b.coldHold(h) && !b.atLimit(h) {
 				b.ready = append(b.ready, h)
 			}
 		}
@@ -410,7 +422,7 @@
 	if j >= i {
 		j++
 	}
-	if b.load(b.ready[j]) < b.load(b.ready[i]) {
+	if b.load(b.ready[j], r.Class) < b.load(b.ready[i], r.Class) {
 		i = j
 	}
 	return b.ready[i]
@@ -467,8 +479,15 @@
 	b.act(Action{Kind: Close, Host: h.ID})
 }
 
-// load is the score of a host: its estimate now x (own pending + 1).
-func (b *Balancer) load(h *host) float64 { return b.estimate(h) * float64(h.pending+1) }
+// load is the score of a host for a class: its estimate now x (own pending + 1). An
+// error in the class is a penalty there alone: others may be served well.
+func (b *Balancer) load(h *host, class int) float64 {
+	rtt := b.estimate(h)
+	if f := &h.class[class]; f.share > 0 {
+		rtt = max(rtt, b.penalty*math.Exp(-(b.now-f.at).Seconds()/b.decayNow()))
+	}
+	return rtt * float64(h.pending+1)
+}
 
 // estimate reads the RTT decayed toward zero, so that a host that was
 // penalised and then left alone drifts back into use.
@@ -574,14 +593,51 @@
 	if h.fails > 0 && b.now < h.ejectUntil {
 		return
 	}
-	d := float64(backoffAims*b.aim) * float64(int(1)<<min(h.fails, backoffMax))
-	h.ejectUntil = b.now + Time(d*(0.75+0.5*b.float()))
+	h.ejectUntil = b.now + b.backoff(h.fails)
 	h.fails++
 	if h.fails == 1 {
 		b.log(logEject, "host %x ejected: %s", h.ID, why)
 	}
 }
 
+// backoff is how long a host that has failed so many times before stays out.
+func (b *Balancer) backoff(fails int) Time {
+	d := float64(backoffAims*b.aim) * float64(int(1)<<min(fails, backoffMax))
+	return Time(d * (0.75 + 0.5*b.float()))
+}
+
+// shunned says whether a host is out for a class, as it answers that with errors.
+func (b *Balancer) shunned(h *host, class int) bool { return b.now < h.class[class].until }
+
+// fail enters an error. From the third in a row on the host is out for the class, longer
+// each time, and then tried with one request at a time. It guards against a host that
+// fails fast and draws all that waits while those that serve are at their limits; the
+// host goes on serving the classes that it serves.
+func (b *Balancer) fail(a *attempt) {
+	f := &a.host.class[a.req.Class]
+	f.share += errorWeight * (1 - f.share)
+	f.at = b.now
+	if f.share <= errorsMost || a.sent < f.outAt {
+		return
+	}
+	f.outAt, f.until = b.now, b.now+b.backoff(f.fails)
+	f.fails++
+	if f.fails == 1 {
+		b.log(logErrors, "host %x gets no more of class %d for now: errors", a.host.ID, a.req.Class)
+	}
+}
+
+// serves enters a good answer to what fail entered errors to.
+func (f *failing) serves() {
+	f.share -= errorWeight * f.share
+	if f.share < errorsMost {
+		f.until = 0
+	}
+	if f.share < errorsLeast {
+		f.fails = 0
+	}
+}
+
 // coldHold paces sends to a host that has just started, so that the bank as a
 // whole stays within its budget. It acts while the host is cold.
 func (b *Balancer) coldHold(h *host) bool {
@@ -658,6 +714,9 @@
 	a.req, a.host, a.sent = r, h, b.now
 	a.trial = h.fails > 0
 	h.trialOut = h.trialOut || a.trial
+	if f := &h.class[r.Class]; f.fails > 0 {
+		f.until = b.now + b.backoff(0) // no other before this one has told
+	}
 	r.atts = append(r.atts, a)
 	r.out++
 	h.pending++
@@ -687,7 +746,7 @@
 	switch a.result {
 	case OK:
 		h.spoilt = 0
-		h.errors -= errorWeight * h.errors
+		h.class[a.req.Class].serves()
 		b.overtake(a)
 		b.sample(h, b.typical(a, rtt))
 		b.adjust(h, aims, a.req.class.Aim, a.sent)
@@ -696,10 +755,7 @@
 			b.served.add(b.now, b.rateSpan())
 			b.warm.add(b.served.now(b.now, b.rateSpan()) / float64(b.used))
 		}
-		if h.errors < errorsMost {
-			b.readmit(h)
-		}
-		h.heard = b.now
+		b.readmit(h)
 	case Full:
 		// What is full takes no more: its refusals come at once, and a host that
 		// gives nothing else would draw all that waits. Acts on each such refusal.
@@ -708,17 +764,12 @@
 		b.sample(h, max(rtt, b.penalty))
 		b.readmit(h)
 	case Failed:
-		// The penalty alone keeps a host that gives errors from being chosen beside
-		// another; but those that serve are often at their limits, and then it would
-		// draw what waits, the more the faster it fails. Acts from the third in a row.
-		b.sample(h, max(rtt, b.penalty))
-		h.errors += errorWeight * (1 - h.errors)
-		if h.errors > errorsMost {
-			h.heard = b.now
-			b.eject(h, "errors")
-		} else {
-			b.readmit(h)
+		h.spoilt = 0
+		if rtt > b.estimate(h) { // an error that comes fast tells nothing of its pace
+			b.sample(h, rtt)
 		}
+		b.fail(a)
+		b.readmit(h)
 	case Spoilt:
 		// The host did the work and took that long; what spoils answers on their way
 		// may do so to any host's. One that gives nothing else counts as failing.
@@ -739,7 +790,13 @@
 		b.sample(h, rtt)
 		b.adjust(h, aims, a.req.class.Aim, a.sent)
 		b.press(a, rtt)
-	case ConnectFailed, Reset:
+	case Reset:
+		// As with spoilt answers, what breaks connections may do so to any host's.
+		b.sample(h, rtt)
+		if h.spoilt++; h.spoilt >= spoiltMost {
+			b.eject(h, "connections fail")
+		}
+	case ConnectFailed:
 		b.sample(h, rtt)
 		b.eject(h, "connections fail")
 	}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -70,7 +70,7 @@
 
 	mu   sync.Mutex
 	open int               // connections, in use, idle and being dialled
-	idle map[*host][]*conn // the warmest last
+	idle map[*host][]*conn // the one idle longest first
 }
 
 // host is where attempts go. The loop creates it and updates it through the Pool;
@@ -215,13 +215,18 @@
 
 var errNoSockets = errors.New("gateway: too many connections to hosts")
 
-// get returns the warmest idle connection to a host, or dials one. The dial is
-// counted before it is made, so that the budget holds.
+// get returns the connection to a host that has been idle longest, or dials one. It
+// guards against hosts that end a connection some milliseconds behind an answer: what is
+// written meanwhile fails, and may have run. By its turn the end of such a one has come.
+// The dial is counted before it is made, so that the budget holds.
 func (p *Pool) get(ctx context.Context, h *host) (*conn, error) {
 	p.mu.Lock()
 	for list := p.idle[h]; len(list) > 0; list = p.idle[h] {
-		c := list[len(list)-1]
-		p.idle[h] = list[:len(list)-1]
+		c := list[0]
+		list[0] = nil
+		if p.idle[h] = list[1:]; len(list) == 1 {
+			delete(p.idle, h)
+		}
 		if c.quiet() {
 			p.mu.Unlock()
 			return c, nil
--- a/state.go
+++ b/state.go
@@ -77,9 +77,9 @@
 	cutAt     Time          // last cut of the limit
 	restUntil Time          // with a limit below one: when it may be used again
 
-	errors     float64 // their share of its last answers
-	spoilt     int     // spoilt answers since the last good one
-	fails      int     // ejections since the last good answer
+	class      []failing // by class
+	spoilt     int       // spoilt and broken answers since the last whole one
+	fails      int       // ejections since the last good answer
 	ejectUntil Time
 	trialOut   bool // the one attempt of a host on trial is out
 
@@ -88,6 +88,15 @@
 	coldNext Time // earliest next send while cold
 }
 
+// failing is what a host's errors in a class tell of it.
+type failing struct {
+	share float64 // of its last answers
+	at    Time    // last error
+	fails int     // times it was put out since it was last well
+	outAt Time    // last time
+	until Time    // it gets none of the class before
+}
+
 // request is a client request with its attempts; it is kept until it has its
 // answer and all its attempts have ended.
 type request struct {
@@ -294,6 +303,7 @@
 // What is logged; each kind is limited by itself.
 const (
 	logEject = iota
+	logErrors
 	logReturn
 	logFailOpen
 	logRefuse
