Call off attempts that were passed by only where such ones stay silent

The share of such attempts that nothing answers is learnt from those left alone, as those of unsafe requests always are; recall acts above 0.2 of it.

--- a/balancer.go
+++ b/balancer.go
@@ -62,6 +62,8 @@
 	errorsLeast  = 0.25      // share below which it is taken for mended
 	passedAfter  = 3         // later answers of its host after which an attempt was passed by
 	recallAims   = 0.3       // age, in aims, at which one that was passed by is called off
+	muteWeight   = 1.0 / 8   // weight of an attempt in the share of such that stay silent
+	muteMost     = 0.2       // share from which they are called off: a loss costs more than work done twice
 	spoiltMost   = 2         // spoilt or broken answers of a host in a row from which each counts
 	answerSteps  = 2         // steps ahead of its deadline that a request is answered at the latest
 )
@@ -315,6 +317,7 @@
 	a.host.pending--
 	a.host.flight.remove(&a.link)
 	h := a.host
+	b.unstuck(a)
 	b.observe(a, max(o.Elapsed, 0).Seconds())
 	b.settle(r, a, o.Closed) // it may let go of a
 	b.forget(h)
@@ -678,12 +681,13 @@
 
 // recall calls off attempts that were passed by and have taken longer than such a
 // request should, and a good part of its aim, so that their requests go out again,
-// where their class allows it. It guards against connections that have gone silent.
+// where their class allows it. It guards against connections that have gone silent, and
+// acts while a good part of such attempts is never answered: else they are requests that
+// take long, and most are answered yet.
 func (b *Balancer) recall(h *host) {
-	for n := h.flight.head; n != nil && b.set.Cancel; n = n.next {
+	for n := h.flight.head; n != nil && b.set.Cancel && b.mute > muteMost; n = n.next {
 		a, r := n.item, n.item.req
-		least := max(b.patience(r), Time(recallAims*float64(r.class.Aim)))
-		if !a.passedBy() || a.recall || r.done || b.now-a.sent < least || !b.mayRetry(r) {
+		if !b.stuck(a) || a.recall || r.done || !b.mayRetry(r) {
 			continue
 		}
 		a.recall = true
@@ -695,6 +699,28 @@
 	}
 }
 
+// stuck says whether an attempt was passed by and has taken long.
+func (b *Balancer) stuck(a *attempt) bool {
+	least := max(b.patience(a.req), Time(recallAims*float64(a.req.class.Aim)))
+	return a.passedBy() && b.now-a.sent >= least
+}
+
+// unstuck learns how such attempts end when they are left alone, as those of unsafe
+// requests always are.
+func (b *Balancer) unstuck(a *attempt) {
+	if a.recall || !b.stuck(a) {
+		return
+	}
+	switch a.result {
+	case OK, Failed, Full, Spoilt:
+		b.mute -= muteWeight * b.mute
+	case TimedOut, Canceled:
+		if a.result == TimedOut || a.req.overdue {
+			b.mute += muteWeight * (1 - b.mute)
+		}
+	}
+}
+
 // paceCold sets when a cold host may be sent the next attempt. What this instance
 // gets from a warm host, summed over those that share it, is within a warm host's
 // capacity; the cold share of it times the factor is this instance's part, spread by
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1503,6 +1503,7 @@
 		g := start(t, basic(), hosts(1)...)
 		h := g.b.hosts[0]
 		h.limit = 8
+		g.b.mute = 1 // as learnt from those before
 		id := g.request(class, time.Second)
 		g.advance(ms)
 		for range passedAfter {
@@ -1536,3 +1537,33 @@
 		}
 	}
 }
+
+// Attempts that were passed by are called off only where such ones stay silent: requests
+// that take long are answered yet, and calling them off does their work twice.
+func TestPassedByAttemptsThatAreAnswered(t *testing.T) {
+	for _, end := range []Result{OK, TimedOut} {
+		g := start(t, basic(), hosts(1)...)
+		g.b.hosts[0].limit = 8
+		for range 8 {
+			id := g.request(2, time.Second)
+			g.advance(ms)
+			for range passedAfter {
+				g.outcome(g.request(0, time.Second), 0, OK, ms)
+				g.advance(ms)
+			}
+			for range 20 {
+				for _, a := range g.advance(15 * ms) {
+					if a.Kind == Cancel {
+						t.Fatalf("an unsafe one was called off: %v", a)
+					}
+				}
+				g.outcome(g.request(0, time.Second), 0, OK, ms)
+			}
+			g.outcome(id, 0, end, 300*ms)
+			g.advance(time.Second)
+		}
+		if calls := g.b.mute > muteMost; calls != (end == TimedOut) {
+			t.Errorf("eight ended with %d: calling off %v, share %v", end, calls, g.b.mute)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -45,6 +45,7 @@
 	bound     float64 // sends a second; 0: not bounded
 	tokens    float64 // sends saved up under it
 	filledAt  Time
+	mute      float64 // share of attempts passed by and long out that nothing answers
 	sends     rate
 	served    rate // good answers
 
