--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1541,11 +1541,11 @@
 // Attempts that were passed by are called off only where such ones stay silent: requests
 // that take long are answered yet, and calling them off does their work twice.
 func TestPassedByAttemptsThatAreAnswered(t *testing.T) {
-	for _, end := range []Result{OK, TimedOut} {
+	for class, end := range map[int]Result{0: OK, 2: TimedOut} { // a safe one, an unsafe one
 		g := start(t, basic(), hosts(1)...)
 		g.b.hosts[0].limit = 8
 		for range 8 {
-			id := g.request(2, time.Second)
+			id := g.request(class, time.Second)
 			g.advance(ms)
 			for range passedAfter {
 				g.outcome(g.request(0, time.Second), 0, OK, ms)
@@ -1554,7 +1554,7 @@
 			for range 20 {
 				for _, a := range g.advance(15 * ms) {
 					if a.Kind == Cancel {
-						t.Fatalf("an unsafe one was called off: %v", a)
+						t.Fatalf("class %d: called off: %v", class, a)
 					}
 				}
 				g.outcome(g.request(0, time.Second), 0, OK, ms)
--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -61,6 +61,7 @@
 		{"an id that is none", head(post, class, timeout, "X-Request-ID: a b;c", "Content-Length: 1") + "b", "400"},
 		{"an id too long", head(post, class, timeout, "X-Request-ID: "+strings.Repeat("a", maxID+1), "Content-Length: 1") + "b", "400"},
 		{"two ids", head(post, class, timeout, id(), id(), "Content-Length: 1") + "b", "400"},
+		{"two keys", head(post, class, timeout, id(), "Idempotency-Key: a", "Idempotency-Key: b", "Content-Length: 1") + "b", "400"},
 		{"no time-out", head(post, class, id(), "Content-Length: 1") + "b", "400"},
 		{"a time-out below 0", head(post, class, "X-Timeout: -1", id(), "Content-Length: 1") + "b", "400"},
 		{"a time-out that is no number", head(post, class, "X-Timeout: NaN", id(), "Content-Length: 1") + "b", "400"},
@@ -221,6 +222,35 @@
 	}
 }
 
+// Room is made where it costs least: what is done with goes first, then what has brought
+// nothing, then what was idle for long, and what has just come last.
+func TestRoomIsMadeInOrder(t *testing.T) {
+	clients := &clients{}
+	names := map[*clientConn]string{}
+	add := func(name string, line *list.List, age time.Duration) {
+		c := &clientConn{}
+		names[c] = name
+		clients.open++
+		clients.move(c, line)
+		c.since = c.since.Add(-age)
+	}
+	add("idle a moment", &clients.idle, -time.Minute) // no pause of the machine ages it
+	add("idle for long", &clients.idle, 2*idleLeast)
+	clients.idle.MoveToFront(clients.idle.Back()) // the lines are in order of age
+	add("silent for a while", &clients.silent, 2*silentLeast)
+	add("has just come", &clients.silent, -time.Minute)
+	add("done with", &clients.spent, 0)
+	for _, want := range []string{"done with", "silent for a while", "idle for long", "has just come", ""} {
+		got := ""
+		if c := clients.makeRoom(); c != nil {
+			got = names[c]
+		}
+		if got != want {
+			t.Fatalf("closed %q, want %q", got, want)
+		}
+	}
+}
+
 // Connections that nobody has used for long, or ever, give way in a crowd, and with them
 // the crowd ends: it guards against making all others pay for them, each request with a
 // connection of its own.
