--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -241,6 +241,9 @@
 	add("has just come", &clients.silent, -time.Minute)
 	add("done with", &clients.spent, 0)
 	for _, want := range []string{"done with", "silent for a while", "idle for long", "has just come", ""} {
+		if want == "has just come" {
+			clients.silent.Front().Value.(*clientConn).since = time.Now()
+		}
 		got := ""
 		if c := clients.makeRoom(); c != nil {
 			got = names[c]
