--- a/api.go
+++ b/api.go
@@ -163,6 +163,21 @@
 	Closed  bool          // the client has its answer, nothing more is owed
 }
 
+// Cause says why a request got a final answer without being served, or why a host is
+// out of the draw. It is for those who look on: nothing is decided by it.
+type Cause uint8
+
+// Causes.
+const (
+	CauseNone        Cause = iota
+	CauseLate              // it came with no time left to be sent
+	CauseWait              // it waited for a host as long as it may
+	CauseDeadline          // its time was up, with an attempt out or none
+	CauseSpent             // its attempts have ended and it may have no other
+	CauseConnections       // of a host: connections fail
+	CauseSilent            // of a host: it takes requests and answers none
+)
+
 // ActionKind says what the gateway is asked to do.
 type ActionKind uint8
 
@@ -181,6 +196,7 @@
 var (
 	resultNames = [...]string{"OK", "Failed", "Full", "TimedOut", "ConnectFailed", "Reset", "Canceled", "NotSent", "Spoilt"}
 	actionNames = [...]string{"Send", "Cancel", "Refuse", "Fail", "Wake", "Close", "Watch", "Log"}
+	causeNames  = [...]string{"none", "late", "wait", "deadline", "spent", "connections fail", "silent"}
 )
 
 // String names the result, for logs.
@@ -189,6 +205,9 @@
 // String names the kind, for logs.
 func (k ActionKind) String() string { return nameOf(actionNames[:], int(k)) }
 
+// String names the cause, for logs.
+func (c Cause) String() string { return nameOf(causeNames[:], int(c)) }
+
 func nameOf(names []string, i int) string {
 	if i < len(names) {
 		return names[i]
@@ -207,4 +226,5 @@
 	After   time.Duration
 	Token   uint64
 	Text    string
+	Why     Cause // of Refuse and Fail
 }
--- a/balancer.go
+++ b/balancer.go
@@ -270,7 +270,7 @@
 	// connecting then ends only later, too late to answer on its outcome.
 	b.wake(max(now, r.deadline-answerSteps*b.set.Step), tokenAnswer<<tokenShift|uint64(q.ID))
 	if now+answerSteps*b.set.Step >= r.deadline {
-		b.answer(r) // it came too late to be sent
+		b.answer(r, CauseLate)
 		return
 	}
 	b.place(r, false)
@@ -349,7 +349,7 @@
 		}
 	case tokenAnswer:
 		if r := b.reqs[RequestID(token&(1<<tokenShift-1))]; r != nil && !r.done && !r.bound {
-			b.answer(r)
+			b.answer(r, CauseDeadline)
 		}
 	}
 }
@@ -592,12 +592,13 @@
 }
 
 // eject takes a host out of the draw, longer each time in a row.
-func (b *Balancer) eject(h *host, why string) {
+func (b *Balancer) eject(h *host, why Cause) {
 	if h.fails > 0 && b.now < h.ejectUntil {
 		return
 	}
 	h.ejectUntil = b.now + b.backoff(h.fails)
 	h.fails++
+	h.why = why
 	if h.fails == 1 {
 		b.log(logEject, "host %x ejected: %s", h.ID, why)
 	}
@@ -820,11 +821,11 @@
 		// As with spoilt answers, what breaks connections may do so to any host's.
 		b.sample(h, rtt)
 		if h.spoilt++; h.spoilt >= spoiltMost {
-			b.eject(h, "connections fail")
+			b.eject(h, CauseConnections)
 		}
 	case ConnectFailed:
 		b.sample(h, rtt)
-		b.eject(h, "connections fail")
+		b.eject(h, CauseConnections)
 	}
 }
 
@@ -911,7 +912,7 @@
 	case b.mayRetry(r):
 		b.place(r, true)
 	default:
-		b.answer(r)
+		b.answer(r, CauseSpent)
 	}
 }
 
@@ -926,12 +927,12 @@
 
 // answer gives the final answer to a request that will not be served: a refusal
 // only where trying again is known to be harmless.
-func (b *Balancer) answer(r *request) {
+func (b *Balancer) answer(r *request, why Cause) {
 	r.overdue = true
 	if r.first() == nil || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
-		b.act(Action{Kind: Refuse, Request: r.ID, After: min(b.aim/4, b.set.MaxRetryAfter)})
+		b.act(Action{Kind: Refuse, Request: r.ID, After: min(b.aim/4, b.set.MaxRetryAfter), Why: why})
 	} else {
-		b.act(Action{Kind: Fail, Request: r.ID})
+		b.act(Action{Kind: Fail, Request: r.ID, Why: why})
 	}
 	b.end(r)
 }
@@ -971,7 +972,7 @@
 	for i := range b.bands {
 		for n := b.bands[i].head; n != nil && b.now >= n.item.expires; n = b.bands[i].head {
 			b.log(logRefuse, "refusing: hosts are full, %d requests wait", b.queued)
-			b.answer(n.item)
+			b.answer(n.item, CauseWait)
 		}
 	}
 	for i := range b.bands {
@@ -1025,7 +1026,7 @@
 			// Its RTT is that long at least: overload shows before the answers come.
 			b.press(n.item, (b.now - n.item.sent).Seconds())
 		}
-		b.eject(h, "silent")
+		b.eject(h, CauseSilent)
 	}
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -718,7 +718,7 @@
 func TestFailOpenWhenMostAreOut(t *testing.T) {
 	g := start(t, basic(), hosts(4)...)
 	for _, h := range g.b.hosts[:3] {
-		g.b.eject(h, "test")
+		g.b.eject(h, CauseSilent)
 	}
 	got := g.serve(60, 0, func(HostID) time.Duration { return ms })
 	if len(got) < 2 {
@@ -1275,14 +1275,14 @@
 func TestLogLinesAreFew(t *testing.T) {
 	g := start(t, basic(), hosts(40)...)
 	for _, h := range g.b.hosts[:10] {
-		g.b.eject(h, "silent")
+		g.b.eject(h, CauseSilent)
 	}
 	g.drain()
 	if len(g.logs) != 1 || g.logs[0] != "host 1 ejected: silent" {
 		t.Fatalf("logs %q, want the first only", g.logs)
 	}
 	g.b.now += logEvery
-	g.b.eject(g.b.hosts[20], "connections fail")
+	g.b.eject(g.b.hosts[20], CauseConnections)
 	g.drain()
 	if want := "host 15 ejected: connections fail (9 more such lines held back)"; g.logs[1] != want {
 		t.Errorf("log %q, want %q", g.logs[1], want)
@@ -1389,8 +1389,12 @@
 	for _, m := range regexp.MustCompile(`b\.log\(log\w+, "([^"]*)"`).FindAllStringSubmatch(string(code), -1) {
 		lines = append(lines, strings.TrimSuffix(m[1], "%s"))
 	}
-	for _, m := range regexp.MustCompile(`b\.eject\(h, "([^"]*)"`).FindAllStringSubmatch(string(code), -1) {
-		lines = append(lines, "ejected: "+m[1])
+	for _, m := range regexp.MustCompile(`b\.eject\(h, (Cause\w+)`).FindAllStringSubmatch(string(code), -1) {
+		name, ok := map[string]Cause{"CauseConnections": CauseConnections, "CauseSilent": CauseSilent}[m[1]]
+		if !ok {
+			t.Errorf("%s: the page is not checked for it", m[1])
+		}
+		lines = append(lines, "ejected: "+name.String())
 	}
 	if len(lines) < logKinds+1 {
 		t.Fatalf("found only %d lines: %q", len(lines), lines)
--- /dev/null
+++ b/checkpoint.go
@@ -0,0 +1,410 @@
+package lynxspool
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// A checkpoint is the whole state of a Balancer as bytes. A Balancer restored from it
+// acts from there on exactly as the one it was taken from, so that a recording can be
+// replayed from any checkpoint and not only from the start.
+//
+// One walk over the state serves both ways: what is saved is what is loaded.
+
+// checkpointVersion changes with every change of what a checkpoint holds.
+const checkpointVersion = 1
+
+// Checkpoint appends the state to dst. The actions decided must have been drained.
+func (b *Balancer) Checkpoint(dst []byte) []byte {
+	s := state{buf: dst}
+	version := uint64(checkpointVersion)
+	s.u64(&version)
+	b.walk(&s)
+	return s.buf
+}
+
+// Restore returns the Balancer that a checkpoint was taken of. The settings must be
+// those that it ran with.
+func Restore(set Settings, data []byte) (*Balancer, error) {
+	b, err := New(set, 0)
+	if err != nil {
+		return nil, err
+	}
+	s := state{buf: data, loading: true}
+	var version uint64
+	s.u64(&version)
+	if version != checkpointVersion {
+		return nil, fmt.Errorf("checkpoint: version %d, this build reads %d", version, checkpointVersion)
+	}
+	b.walk(&s)
+	if s.err == nil && len(s.buf) > 0 {
+		s.err = errors.New("bytes are left over")
+	}
+	if s.err != nil {
+		return nil, fmt.Errorf("checkpoint: %w", s.err)
+	}
+	return b, nil
+}
+
+// state is the walk: with loading unset each step appends, else it takes.
+type state struct {
+	buf     []byte
+	loading bool
+	err     error
+}
+
+func (s *state) fail(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf(format, args...)
+	}
+	s.buf = nil
+}
+
+func (s *state) u64(v *uint64) {
+	if !s.loading {
+		s.buf = binary.AppendUvarint(s.buf, *v)
+		return
+	}
+	x, n := binary.Uvarint(s.buf)
+	if n <= 0 {
+		*v = 0
+		s.fail("it is cut off")
+		return
+	}
+	*v, s.buf = x, s.buf[n:]
+}
+
+func (s *state) f64(v *float64) {
+	if !s.loading {
+		s.buf = binary.LittleEndian.AppendUint64(s.buf, math.Float64bits(*v))
+		return
+	}
+	if len(s.buf) < 8 {
+		*v = 0
+		s.fail("it is cut off")
+		return
+	}
+	*v, s.buf = math.Float64frombits(binary.LittleEndian.Uint64(s.buf)), s.buf[8:]
+}
+
+func (s *state) flag(v *bool) {
+	var x uint64
+	if *v {
+		x = 1
+	}
+	s.u64(&x)
+	*v = x != 0
+}
+
+// whole walks any whole number, signed or not.
+func whole[T ~int | ~int64 | ~uint8 | ~uint64](s *state, v *T) {
+	z := int64(*v)
+	x := uint64(z<<1) ^ uint64(z>>63)
+	s.u64(&x)
+	*v = T(int64(x>>1) ^ -int64(x&1))
+}
+
+// count walks a number of items, each of which takes a byte at least: it guards against
+// a length that would have memory taken for what is not there.
+func (s *state) count(n int) int {
+	x := uint64(n)
+	s.u64(&x)
+	if s.loading && x > uint64(len(s.buf)) {
+		s.fail("%d items in %d bytes", x, len(s.buf))
+		return 0
+	}
+	return int(x)
+}
+
+// index walks a number below n, or -1.
+func (s *state) index(i, n int) int {
+	whole(s, &i)
+	if s.loading && (i < -1 || i >= n) {
+		s.fail("%d is not among %d", i, n)
+		return -1
+	}
+	return i
+}
+
+func (s *state) means(list *[]mean) {
+	n := s.count(len(*list))
+	if s.loading {
+		*list = make([]mean, n)
+	}
+	for i := range *list {
+		s.mean(&(*list)[i])
+	}
+}
+
+func (s *state) mean(m *mean) {
+	s.f64(&m.mean)
+	s.f64(&m.dev)
+	s.flag(&m.seen)
+	whole(s, &m.n)
+	whole(s, &m.at)
+}
+
+func (s *state) rate(r *rate) {
+	s.f64(&r.rate)
+	whole(s, &r.at)
+}
+
+// walk goes over all state but the settings and what follows from them.
+func (b *Balancer) walk(s *state) {
+	whole(s, &b.rng)
+	whole(s, &b.now)
+	whole(s, &b.redrawAt)
+	whole(s, &b.used)
+	whole(s, &b.outNow)
+	for _, r := range []*rate{&b.rate, &b.sends, &b.served} {
+		s.rate(r)
+	}
+	classes := len(b.lat)
+	s.means(&b.lat)
+	if s.loading && len(b.lat) != classes {
+		s.fail("it is of %d classes, the settings have %d", len(b.lat), classes)
+		return
+	}
+	s.means(&b.kinds)
+	for _, m := range []*mean{&b.all, &b.warm, &b.pressure} {
+		s.mean(m)
+	}
+	for i := range b.quota {
+		s.f64(&b.quota[i].tokens)
+		whole(s, &b.quota[i].at)
+	}
+	for _, t := range []*Time{&b.pressedAt, &b.grownAt, &b.filledAt, &b.sweepAt, &b.watchAt} {
+		whole(s, t)
+	}
+	for _, f := range []*float64{&b.bound, &b.tokens, &b.mute} {
+		s.f64(f)
+	}
+	s.flag(&b.watching)
+	whole(s, &b.watchFails)
+	for i := range b.lines {
+		whole(s, &b.lines[i].at)
+		s.flag(&b.lines[i].said)
+		whole(s, &b.lines[i].held)
+	}
+	b.walkHosts(s)
+	b.walkRequests(s)
+}
+
+func (b *Balancer) walkHosts(s *state) {
+	n := s.count(len(b.hosts))
+	if s.loading {
+		b.hosts = make([]*host, n)
+	}
+	at := make(map[*host]int, n) // empty while loading
+	for i := range n {
+		if s.loading {
+			b.hosts[i] = &host{class: make([]failing, len(b.set.Classes))}
+		}
+		b.hosts[i].walk(s)
+		if s.loading {
+			b.byID[b.hosts[i].ID] = b.hosts[i]
+		} else {
+			at[b.hosts[i]] = i
+		}
+	}
+	for _, list := range []*[]*host{&b.ring, &b.drawn} {
+		n := s.count(len(*list))
+		if s.loading {
+			*list = make([]*host, n)
+		}
+		for i := range n {
+			k := -1
+			var id HostID
+			if !s.loading {
+				id = (*list)[i].ID
+				if j, ok := at[(*list)[i]]; ok {
+					k = j
+				}
+			}
+			if k = s.index(k, len(b.hosts)); k >= 0 {
+				(*list)[i] = b.hosts[k]
+				continue
+			}
+			// One that was forgotten stays drawn until the next look at those drawn.
+			whole(s, &id)
+			if s.loading {
+				(*list)[i] = &host{Host: Host{ID: id, State: Removed}}
+			}
+		}
+	}
+}
+
+func (h *host) walk(s *state) {
+	whole(s, &h.ID)
+	whole(s, &h.Zone)
+	whole(s, &h.Cell)
+	whole(s, &h.Kind)
+	whole(s, &h.State)
+	for _, t := range []*Time{&h.Started, &h.rttAt, &h.heard, &h.cutAt, &h.restUntil, &h.ejectUntil, &h.coldAt, &h.coldNext} {
+		whole(s, t)
+	}
+	for _, f := range []*float64{&h.place, &h.rtt, &h.limit} {
+		s.f64(f)
+	}
+	for _, f := range []*bool{&h.drawn, &h.sampled, &h.trialOut, &h.cold} {
+		s.flag(f)
+	}
+	for _, n := range []*int{&h.slot, &h.spoilt, &h.fails} {
+		whole(s, n)
+	}
+	whole(s, &h.why)
+	s.mean(&h.lat)
+	for i := range h.class {
+		f := &h.class[i]
+		s.f64(&f.share)
+		whole(s, &f.at)
+		whole(s, &f.fails)
+		whole(s, &f.outAt)
+		whole(s, &f.until)
+	}
+	if s.loading {
+		h.mark = mix(uint64(h.ID))
+	}
+}
+
+// walkRequests goes over the requests in the order of their ids, then the lines, then
+// what is out at each host in the order sent.
+func (b *Balancer) walkRequests(s *state) {
+	ids := make([]RequestID, 0, len(b.reqs))
+	for id := range b.reqs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	n := s.count(len(ids))
+	for i := range n {
+		r := &request{}
+		if !s.loading {
+			r = b.reqs[ids[i]]
+		}
+		b.walkRequest(s, r)
+		if s.err != nil {
+			return
+		}
+		if s.loading {
+			b.reqs[r.ID] = r
+		}
+	}
+	for k := range b.bands {
+		n, next := 0, b.bands[k].head
+		for m := next; m != nil; m = m.next {
+			n++
+		}
+		for n = s.count(n); n > 0; n-- {
+			var id RequestID
+			if !s.loading {
+				id, next = next.item.ID, next.next
+			}
+			whole(s, &id)
+			if !s.loading {
+				continue
+			}
+			r := b.reqs[id]
+			if r == nil || r.queued {
+				s.fail("a line names no request")
+				return
+			}
+			r.band = k
+			b.push(r, false)
+		}
+	}
+	for _, h := range b.hosts {
+		n, next := h.pending, h.flight.head
+		for n = s.count(n); n > 0; n-- {
+			var id RequestID
+			var k int
+			if !s.loading {
+				a := next.item
+				id, next = a.req.ID, next.next
+				for k = range a.req.atts {
+					if a.req.atts[k] == a {
+						break
+					}
+				}
+			}
+			whole(s, &id)
+			whole(s, &k)
+			if !s.loading {
+				continue
+			}
+			r := b.reqs[id]
+			if r == nil || k < 0 || k >= len(r.atts) || r.atts[k].ended || r.atts[k].host != h || r.atts[k].link.item != nil {
+				s.fail("a host names no attempt")
+				return
+			}
+			a := r.atts[k]
+			a.link.item = a
+			h.flight.pushBack(&a.link)
+			h.pending++
+		}
+	}
+}
+
+func (b *Balancer) walkRequest(s *state, r *request) {
+	whole(s, &r.ID)
+	whole(s, &r.Class)
+	if r.Class < 0 || r.Class >= len(b.set.Classes) {
+		s.fail("a request of class %d", r.Class)
+		return
+	}
+	r.class = &b.set.Classes[r.Class]
+	whole(s, &r.Tenant)
+	for _, t := range []*Time{&r.Left, &r.arrived, &r.deadline, &r.expires} {
+		whole(s, t)
+	}
+	whole(s, &r.band)
+	if r.band < 0 || r.band >= len(b.bands) {
+		s.fail("a request in line %d", r.band)
+		return
+	}
+	for _, f := range []*bool{&r.Repeat, &r.done, &r.overdue, &r.bound} {
+		s.flag(f)
+	}
+	n := s.count(len(r.atts))
+	for i := range n {
+		if s.loading {
+			r.atts = append(r.atts, &attempt{req: r})
+		}
+		a := r.atts[i]
+		var h Host
+		live := false
+		if !s.loading {
+			h, live = a.host.Host, b.byID[a.host.ID] == a.host
+		}
+		s.flag(&live)
+		whole(s, &h.ID)
+		whole(s, &h.Zone)
+		whole(s, &h.Cell)
+		whole(s, &a.sent)
+		whole(s, &a.result)
+		whole(s, &a.later)
+		for _, f := range []*bool{&a.ended, &a.trial, &a.recall} {
+			s.flag(f)
+		}
+		if !s.loading {
+			continue
+		}
+		if !a.ended {
+			r.out++
+		}
+		if live {
+			a.host = b.byID[h.ID]
+		} else if a.ended {
+			// It was forgotten after the attempt ended: only its zone and cell still
+			// count, for the repeats of a keyed request.
+			h.State = Removed
+			a.host = &host{Host: h}
+		}
+		if a.host == nil {
+			s.fail("an attempt at no host")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/checkpoint_test.go
@@ -0,0 +1,139 @@
+package lynxspool
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// acted plays a random history and returns all that was decided. With every > 0 the
+// Balancer is replaced after each every-th event by one restored from its checkpoint.
+func acted(t *testing.T, seed int64, every int) string {
+	r := rand.New(rand.NewSource(seed))
+	data := make([]byte, 3000)
+	r.Read(data)
+	var all strings.Builder
+	h := newHistory(t, data[:8])
+	n := 0
+	h.acted = func(list []Action) { fmt.Fprintln(&all, list) }
+	h.after = func() {
+		if n++; every == 0 || n%every != 0 {
+			return
+		}
+		saved := h.b.Checkpoint(nil)
+		b, err := Restore(h.set, saved)
+		if err != nil {
+			t.Fatalf("seed %d, event %d: %v", seed, n, err)
+		}
+		if again := b.Checkpoint(nil); !bytes.Equal(saved, again) {
+			t.Fatalf("seed %d, event %d: what was restored is saved otherwise", seed, n)
+		}
+		h.b = b
+	}
+	h.play(data[8:])
+	return all.String()
+}
+
+// A Balancer restored in mid-flight acts as the one it was taken from.
+func TestRestoredActsAlike(t *testing.T) {
+	for seed := range int64(40) {
+		want := acted(t, seed, 0)
+		for _, every := range []int{1, 7} {
+			if acted(t, seed, every) != want {
+				t.Errorf("seed %d: restored after every %d events it acts otherwise", seed, every)
+			}
+		}
+	}
+}
+
+// A checkpoint that is cut short or altered is an error or another state, never a panic.
+func TestRestoreOfDamage(t *testing.T) {
+	g := start(t, basic(), hosts(5)...)
+	for i := range 30 {
+		g.request(i%3, basic().Classes[0].Deadline)
+	}
+	saved := g.b.Checkpoint(nil)
+	for n := range saved {
+		if _, err := Restore(basic(), saved[:n]); err == nil {
+			t.Fatalf("the first %d of %d bytes were taken for a whole checkpoint", n, len(saved))
+		}
+		for _, x := range []byte{1, 0x80, 0xff} {
+			bad := slices.Clone(saved)
+			bad[n] ^= x
+			Restore(basic(), bad) // any error will do
+		}
+	}
+	if _, err := Restore(basic(), append(saved, 0)); err == nil {
+		t.Error("a byte too many is not noticed")
+	}
+	bad := slices.Clone(saved)
+	bad[0]++
+	if _, err := Restore(basic(), bad); err == nil || !strings.Contains(err.Error(), "version") {
+		t.Errorf("another version: %v", err)
+	}
+}
+
+// Whoever adds a field must say here whether it is saved: one that is forgotten shows
+// only where a replay goes wrong much later.
+func TestCheckpointNamesEveryField(t *testing.T) {
+	known := map[reflect.Type]string{
+		reflect.TypeFor[Balancer](): "rng now hosts ring drawn redrawAt used rate reqs queued outNow lat all kinds warm quota pressure " +
+			"pressedAt bound grownAt tokens filledAt mute sends served sweepAt watching watchAt watchFails lines bands | " +
+			"set acts byID band aim decay penalty ready freeReq freeAtt",
+		reflect.TypeFor[host](): "Host place rtt rttAt drawn slot sampled pending flight heard limit lat cutAt restUntil class spoilt fails " +
+			"why ejectUntil trialOut cold coldAt coldNext | mark",
+		reflect.TypeFor[request](): "Request arrived deadline expires band out done overdue bound queued atts | class link",
+		reflect.TypeFor[attempt](): "req host sent ended result trial later recall | link",
+		reflect.TypeFor[failing](): "share at fails outAt until |",
+		reflect.TypeFor[mean]():    "mean dev seen n at |",
+		reflect.TypeFor[bucket]():  "tokens at | rate",
+		reflect.TypeFor[Host]():    "ID Zone Cell Kind State Started |",
+		reflect.TypeFor[Request](): "ID Class Tenant Left Repeat |",
+	}
+	for typ, text := range known {
+		names := strings.Fields(text)
+		for i := range typ.NumField() {
+			if name := typ.Field(i).Name; !slices.Contains(names, name) {
+				t.Errorf("%s.%s: is it part of a checkpoint?", typ.Name(), name)
+			}
+		}
+		for _, name := range names {
+			if _, ok := typ.FieldByName(name); !ok && name != "|" {
+				t.Errorf("%s has no field %s", typ.Name(), name)
+			}
+		}
+	}
+}
+
+func TestViews(t *testing.T) {
+	g := start(t, basic(), hosts(3)...)
+	g.b.eject(g.b.byID[1], CauseSilent)
+	g.b.byID[2].restUntil = g.now + ms
+	views := g.b.Views(nil)
+	var held []string
+	for i := range views {
+		held = append(held, views[i].Held(g.now))
+	}
+	if !slices.Equal(held, []string{"ejected", "resting", ""}) && !slices.Equal(held, []string{"not drawn", "not drawn", "not drawn"}) {
+		t.Errorf("held: %q", held)
+	}
+	if views[0].Why != CauseSilent || views[0].Fails != 1 || views[0].Host != 1 {
+		t.Errorf("view of an ejected host: %+v", views[0])
+	}
+}
+
+func BenchmarkCheckpoint(bm *testing.B) {
+	b, now := running(bm)
+	for i := range RequestID(40) {
+		b.Request(now, Request{ID: i, Left: basic().Classes[0].Deadline})
+	}
+	var buf []byte
+	for bm.Loop() {
+		buf = b.Checkpoint(buf[:0])
+	}
+	bm.ReportMetric(float64(len(buf)), "bytes")
+}
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"math"
@@ -13,6 +14,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"lynxspool"
 	"lynxspool/internal/gateway"
@@ -22,15 +24,26 @@
 // the rest is for stacks, the binary and what the kernel holds for us.
 const memoryShare = 0.7
 
+// recordedWithin is how long the exit waits for the last of a flight recording: what is
+// left then is some 500 KB at most.
+const recordedWithin = 50 * time.Millisecond
+
 func main() {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	record := flag.String("flight", "", "the flight recorder's settings, a TOML `file`; nothing is recorded without")
+	flag.Parse()
 	// Two channels: any number of SIGHUPs must not crowd out a SIGTERM.
-	stop, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	stop, hup, usr1 := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(hup, syscall.SIGHUP)
+	signal.Notify(usr1, syscall.SIGUSR1)
 	cfg, err := gateway.Load(os.Getenv)
+	var rc *gateway.RecordingConfig
+	if err == nil && *record != "" {
+		rc, err = gateway.LoadRecording(*record)
+	}
 	if err == nil {
-		err = run(cfg, stop, hup)
+		err = run(cfg, rc, stop, hup, usr1)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "dunemoor: %v\n", err)
@@ -39,8 +52,8 @@
 }
 
 // run serves until SIGTERM or SIGINT, and then ends in order. SIGHUP makes it read the
-// configuration anew.
-func run(cfg *gateway.Config, stop, hup <-chan os.Signal) error {
+// configuration anew, SIGUSR1 write out what the flight recorder holds.
+func run(cfg *gateway.Config, rc *gateway.RecordingConfig, stop, hup, usr1 <-chan os.Signal) error {
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
@@ -59,6 +72,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if rc != nil {
+		if err := loop.Record(cfg, rc); err != nil {
+			return fmt.Errorf("flight: %w", err)
+		}
+	}
 	go pool.Run(ctx)
 	go loop.Run(ctx)
 	loop.Members(lynxspool.ListSaved, cfg.Known)
@@ -74,11 +92,15 @@
 			return fmt.Errorf("listen: %w", err)
 		case <-hup:
 			reload(discovery)
+		case <-usr1:
+			loop.Dump()
 		case s := <-stop:
 			// From here on signals are left unread: neither SIGHUP nor a second
 			// SIGTERM may end the process with requests unanswered.
 			slog.Info("stopping", "signal", s.String())
 			server.Stop()
+			cancel()
+			loop.Wait(recordedWithin)
 			slog.Info("stopped")
 			return nil
 		}
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -1,8 +1,10 @@
 package lynxspool
 
 import (
+	"maps"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 )
@@ -56,6 +58,9 @@
 
 	served   float64
 	servedAt Time
+
+	acted func([]Action) // if set, told of what was decided
+	after func()         // if set, called after each event
 }
 
 func newHistory(t *testing.T, c []byte) *history {
@@ -113,7 +118,8 @@
 		}
 	}
 	h.advance(2 * time.Second)
-	for id, r := range h.reqs {
+	for _, id := range slices.Sorted(maps.Keys(h.reqs)) { // in the same order every time
+		r := h.reqs[id]
 		if !r.answered {
 			h.Fatalf("request %d has no answer", id)
 		}
@@ -259,7 +265,11 @@
 
 // settle carries out the actions and checks them against the rules.
 func (h *history) settle() {
-	for _, a := range h.b.Drain(nil) {
+	acts := h.b.Drain(nil)
+	if h.acted != nil {
+		h.acted(acts)
+	}
+	for _, a := range acts {
 		switch a.Kind {
 		case Wake:
 			h.wakes = append(h.wakes, a)
@@ -277,6 +287,9 @@
 			h.answer(a)
 		}
 	}
+	if h.after != nil {
+		h.after()
+	}
 }
 
 func (h *history) send(a Action) {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/flight"
 )
 
 // Loop owns the Balancer: it is told what happens by the other parts, one event
@@ -21,7 +22,8 @@
 
 	// All below belongs to the goroutine of Run.
 	clock  clock
-	bal    *lynxspool.Balancer
+	bal    flight.Module // a Balancer, or the recorder in front of it
+	record *recording    // nil: nothing is recorded
 	acts   []lynxspool.Action
 	timers timers
 	pool   *Pool
@@ -78,6 +80,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			l.endRecording()
 			return
 		case handle := <-l.events:
 			handle(l.clock.now())
@@ -91,6 +94,14 @@
 	}
 }
 
+// Wait waits until Run has returned and what was recorded is written, for so long at most.
+func (l *Loop) Wait(most time.Duration) {
+	select {
+	case <-l.done:
+	case <-time.After(most):
+	}
+}
+
 // post hands an event to the loop.
 func (l *Loop) post(handle func(now lynxspool.Time)) {
 	select {
@@ -146,6 +157,9 @@
 			} else if h == nil {
 				h = &host{id: m.ID}
 				l.hosts[e.ID] = h
+				if l.record != nil {
+					l.record.rec.Name(now, e.ID, m.ID)
+				}
 			} else if h.id != m.ID {
 				// Two names with one HostID would be taken for one host.
 				slog.Error("host left out: its id collides with another's", "host", m.ID, "other", h.id)
@@ -247,8 +261,10 @@
 				x.attempts[a.Attempt]()
 			}
 		case lynxspool.Refuse:
+			l.answered(true)
 			l.answer(a.Request, answer{kind: refused, retryAfter: a.After})
 		case lynxspool.Fail:
+			l.answered(false)
 			l.answer(a.Request, answer{kind: failed})
 		case lynxspool.Wake:
 			heap.Push(&l.timers, wake{a.At, a.Token})
@@ -298,8 +314,12 @@
 // itself; the Balancer is told so.
 func (l *Loop) ended(now lynxspool.Time, x *exchange, n int, took time.Duration, result lynxspool.Result, good answer) {
 	x.out--
-	if result == lynxspool.OK && !x.finish(good) {
-		l.pool.release(good)
+	if result == lynxspool.OK {
+		if x.finish(good) {
+			l.answered(false)
+		} else {
+			l.pool.release(good)
+		}
 	}
 	l.bal.Outcome(now, lynxspool.Outcome{
 		Request: x.id, Attempt: n, Result: result,
--- a/state.go
+++ b/state.go
@@ -81,6 +81,7 @@
 	class      []failing // by class
 	spoilt     int       // spoilt and broken answers since the last whole one
 	fails      int       // ejections since the last good answer
+	why        Cause     // of the last ejection
 	ejectUntil Time
 	trialOut   bool // the one attempt of a host on trial is out
 
