A single long attempt no longer takes a host out; fail-open spares hosts that are down

Behind that, fail-open drew hosts that refuse connections: 2,623 lookups used up their four attempts within milliseconds.

Change: silence needs two unanswered attempts. A host with one long attempt is doubtful: it gets nothing while another is ready, then one request that can be sent again, which tells. Attempts passed by do not count against the limit while most such stay silent. Fail-open leaves out hosts whose connections fail while any other is up.

--- a/balancer.go
+++ b/balancer.go
@@ -377,7 +377,7 @@
 	if r.class.Effect == Keyed && r.first() != nil {
 		from = b.ring // its group may lie outside
 	}
-	listed, out, shunned := 0, 0, 0
+	listed, out, shunned, broken, doubtful := 0, 0, 0, 0, 0
 	b.ready = b.ready[:0]
 	for _, h := range from {
 		if h.State != Ready || !b.allows(r, h) {
@@ -391,7 +391,14 @@
 		switch {
 		case b.ejected(h):
 			out++
-		case b.coldHold(h) || b.atLimit(h):
+			if h.why == CauseConnections {
+				broken++
+			}
+		case b.coldHold(h):
+		case b.atLimit(h):
+			if b.doubtful(h) {
+				doubtful++
+			}
 		default:
 			b.ready = append(b.ready, h)
 		}
@@ -403,12 +410,25 @@
 		}
 	}
 	// Fail open: when most hosts are out, the fault is more likely the path or
-	// the load than every host, and the few left must not take it all.
+	// the load than every host, and the few left must not take it all. Hosts to which
+	// connections fail are spared while any other is up: they would use up in no time
+	// what attempts a request has.
 	if out*2 > listed {
 		b.log(logFailOpen, "%d of %d hosts are ejected, using them all the same", out, listed)
 		for _, h := range from {
 			if h.State == Ready && b.allows(r, h) && b.ejected(h) && !b.shunned(h, r.Class) &&
-				!b.coldHold(h) && !b.atLimit(h) {
+				(h.why != CauseConnections || broken == listed) && !b.coldHold(h) && !b.atLimit(h) {
+				b.ready = append(b.ready, h)
+			}
+		}
+	}
+	// Before it waits, a request that can be sent again goes to a host of which it is not
+	// known whether it is silent or has one costly request: it tells which. It guards
+	// against a fleet of hosts that each stand idle beside one such request.
+	if len(b.ready) == 0 && doubtful > 0 && r.class.Effect != Unsafe {
+		for _, h := range from {
+			if h.State == Ready && b.allows(r, h) && !b.shunned(h, r.Class) && !b.ejected(h) &&
+				!b.coldHold(h) && b.doubtful(h) {
 				b.ready = append(b.ready, h)
 			}
 		}
@@ -653,19 +673,40 @@
 
 // atLimit says whether a host holds as much from this instance as it may. A
 // limit below one, on a host whose mean RTT is over the target, means that it is
-// used for that share of the time.
+// used for that share of the time. A host whose oldest attempt has taken longer than the
+// target of the limit already, or is doubtful, gets no other either.
 func (b *Balancer) atLimit(h *host) bool {
-	return h.pending > 0 && float64(h.pending+1) > h.limit || b.now < h.restUntil || b.overdue(h)
+	n, held := h.oldest()
+	holds := h.pending
+	if b.mute > muteMost {
+		holds = held // those passed by are most likely on connections that have gone silent
+	}
+	if b.now < h.restUntil || holds > 0 && float64(holds+1) > h.limit {
+		return true
+	}
+	return held > 0 && float64(b.now-n.sent) > overdueAims*float64(n.req.class.Aim) || b.doubtful(h)
+}
+
+// doubtful says whether a host has a single attempt out, one that takes longer than it
+// should: either the host is silent or the request is costly.
+func (b *Balancer) doubtful(h *host) bool {
+	n, held := h.oldest()
+	return held == 1 && b.now >= h.restUntil && b.now-n.sent >= b.patience(n.req)
 }
 
-// overdue says whether the oldest attempt out at a host has taken longer than the
-// target of the limit already. One that was passed by tells nothing of the host.
-func (b *Balancer) overdue(h *host) bool {
-	n := h.flight.head
-	for n != nil && n.item.passedBy() {
-		n = n.next
+// oldest is the attempt out longest at a host that was not passed by, and how many such
+// there are.
+func (h *host) oldest() (a *attempt, held int) {
+	for n := h.flight.head; n != nil; n = n.next {
+		if n.item.passedBy() {
+			continue
+		}
+		if a == nil {
+			a = n.item
+		}
+		held++
 	}
-	return n != nil && float64(b.now-n.item.sent) > overdueAims*float64(n.item.req.class.Aim)
+	return a, held
 }
 
 // passedBy says whether the host has answered attempts sent after this one, and so is
@@ -1008,11 +1049,12 @@
 }
 
 // listen looks for silent hosts: those that have answered nothing since their
-// oldest attempt was sent, longer ago than such a request should take. They are
+// oldest attempts were sent, longer ago than such requests should take. They are
 // ejected until they answer or a trial does. It guards against hosts that take
-// requests and answer none; a host that is only slow, or has one costly request,
-// answers others meanwhile. What waits there stays: most often it is answered
-// yet, and sending it again costs more than it saves.
+// requests and answer none; a host that is only slow answers others meanwhile. One
+// attempt alone may be costly, so two must be out that long: it guards against ejecting
+// host after host for one costly request each. What waits there stays: most often it is
+// answered yet, and sending it again costs more than it saves.
 func (b *Balancer) listen() {
 	b.outNow = 0
 	for _, h := range b.hosts {
@@ -1022,11 +1064,14 @@
 		if n == nil || n.item.sent < h.heard || b.now-n.item.sent < b.patience(n.item.req) {
 			continue
 		}
-		if h.fails == 0 {
+		if h.fails == 0 && !n.item.doubted {
 			// Its RTT is that long at least: overload shows before the answers come.
+			n.item.doubted = true
 			b.press(n.item, (b.now - n.item.sent).Seconds())
 		}
-		b.eject(h, CauseSilent)
+		if n = n.next; n != nil && b.now-n.item.sent >= b.patience(n.item.req) {
+			b.eject(h, CauseSilent)
+		}
 	}
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"fmt"
 	"math"
+	"math/rand"
 	"os"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -715,6 +717,168 @@
 	}
 }
 
+// One attempt that takes long is no proof of silence: its host is doubtful. It gets
+// nothing while another is ready, then one request that can be sent again, which tells.
+func TestDoubtfulHost(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		g := start(t, basic(), hosts(2)...)
+		g.serve(60, 0, func(HostID) time.Duration { return 10 * ms })
+		h := g.b.byID[1]
+		held := g.sentTo(1, 10*ms)
+		g.advance(200 * ms)
+		if h.fails != 0 || !g.b.doubtful(h) {
+			t.Fatalf("ejected %d times, doubtful %v", h.fails, g.b.doubtful(h))
+		}
+		if got := g.serve(30, 0, func(HostID) time.Duration { return ms }); got[1] != 0 {
+			t.Fatalf("%d sends to it while another is ready", got[1])
+		}
+		g.b.byID[2].restUntil = g.now + time.Minute // the other is not ready any more
+		g.request(2, time.Second)
+		for _, a := range g.acts {
+			if a.Kind == Send {
+				t.Fatal("an unsafe request tells whether it is silent")
+			}
+		}
+		g.advance(300 * ms) // it is refused
+		id := g.request(0, time.Second)
+		if a := g.sole(Send); a.Host != 1 {
+			t.Fatalf("sent to %d", a.Host)
+		}
+		if g.request(0, time.Second); len(g.acts) > 0 {
+			t.Fatalf("a second one in doubt: %v", g.acts)
+		}
+		if answers {
+			g.outcome(id, 0, OK, 10*ms)
+			g.advance(100 * ms)
+			if h.fails != 0 {
+				t.Error("ejected though it answers others")
+			}
+		} else {
+			g.advance(200 * ms)
+			if h.fails == 0 || h.why != CauseSilent {
+				t.Errorf("two attempts unanswered: ejected %d times, %v", h.fails, h.why)
+			}
+		}
+		g.outcome(held, 0, OK, 500*ms)
+		if h.fails != 0 {
+			t.Error("still out after its answer")
+		}
+	}
+}
+
+// Two instances share ten hosts that divide their core among what they work on, and one
+// attempt in 25 is never answered, as its connection has gone silent: the situation of the
+// incident r42c44a. There each such attempt kept its host from all others until the
+// client's deadline, half the hosts were out as silent at any time, and a third of all that
+// came was refused.
+func TestSilentConnectionsDoNotStarveTheFleet(t *testing.T) {
+	set := basic()
+	set.Instances, set.Step = 2, ms
+	set.Classes = []Class{
+		{Aim: 380 * ms, Deadline: 1340 * ms, Worth: 1},
+		{Aim: 130 * ms, Deadline: 400 * ms, Worth: 5, Effect: Unsafe},
+	}
+	type job struct {
+		gw   int
+		id   RequestID
+		n    int
+		host HostID
+		left float64 // work in ms
+		sent Time
+	}
+	r := rand.New(rand.NewSource(3))
+	var gws [2]*gateway
+	for i := range gws {
+		set.Rank = i
+		gws[i] = start(t, set, hosts(10)...)
+	}
+	const warm = 1000 // ms
+	var jobs []*job
+	work := map[RequestID]float64{}
+	sends := map[[2]RequestID]int{}
+	asked, refused := 0, 0
+	var handle func(gw int, acts []Action)
+	handle = func(gw int, acts []Action) {
+		for _, a := range slices.Clone(acts) {
+			switch a.Kind {
+			case Send:
+				key := [2]RequestID{RequestID(gw), a.Request}
+				j := &job{gw, a.Request, sends[key], a.Host, work[a.Request], gws[gw].now}
+				if gws[gw].now > time.Hour+warm*ms && r.Float64() < 0.04 {
+					j.left = math.Inf(1)
+				}
+				jobs = append(jobs, j)
+				sends[key]++
+			case Cancel:
+				for i, j := range jobs {
+					if j.gw == gw && j.id == a.Request && j.n == a.Attempt {
+						jobs = slices.Delete(jobs, i, i+1)
+						gws[gw].outcome(j.id, j.n, Canceled, gws[gw].now-j.sent)
+						handle(gw, gws[gw].acts)
+						break
+					}
+				}
+			case Refuse, Fail:
+				refused++
+			}
+		}
+	}
+	speed := [...]float64{0.8, 1.2, 2}
+	for range 8000 {
+		busy := map[HostID]float64{}
+		for _, j := range jobs {
+			if !math.IsInf(j.left, 1) {
+				busy[j.host]++
+			}
+		}
+		for _, j := range slices.Clone(jobs) {
+			if math.IsInf(j.left, 1) || !slices.Contains(jobs, j) {
+				continue
+			}
+			if j.left -= speed[j.host%3] / busy[j.host]; j.left > 0 {
+				continue
+			}
+			jobs = slices.Delete(jobs, slices.Index(jobs, j), slices.Index(jobs, j)+1)
+			gws[j.gw].outcome(j.id, j.n, OK, gws[j.gw].now-j.sent)
+			handle(j.gw, gws[j.gw].acts)
+		}
+		for i, g := range gws {
+			handle(i, g.advance(ms))
+			if r.Float64() >= 0.35 { // of each instance
+				continue
+			}
+			class := r.Intn(2)
+			work[g.next+1] = r.ExpFloat64() * 10
+			asked++
+			g.request(class, time.Second)
+			handle(i, g.acts)
+		}
+	}
+	if float64(refused) > 0.05*float64(asked) {
+		t.Errorf("%d of %d refused or failed", refused, asked)
+	}
+	t.Logf("%d of %d refused or failed", refused, asked)
+}
+
+// Hosts to which connections fail are spared by fail-open while any other is up: each try
+// there uses up one of a request's attempts at once.
+func TestFailOpenSparesBrokenHosts(t *testing.T) {
+	g := start(t, basic(), hosts(6)...)
+	for id := HostID(1); id <= 4; id++ {
+		g.b.eject(g.b.byID[id], CauseConnections)
+	}
+	g.b.eject(g.b.byID[5], CauseSilent)
+	got := g.serve(40, 0, func(HostID) time.Duration { return ms })
+	if got[5] == 0 || got[6] == 0 || got[1]+got[2]+got[3]+got[4] != 0 {
+		t.Errorf("sends by host: %v", got)
+	}
+	g.b.eject(g.b.byID[5], CauseConnections)
+	g.b.byID[5].why = CauseConnections
+	g.b.eject(g.b.byID[6], CauseConnections)
+	g.request(0, time.Second)
+	g.sole(Send) // connections fail everywhere, so the fault may be the path
+}
+
 func TestFailOpenWhenMostAreOut(t *testing.T) {
 	g := start(t, basic(), hosts(4)...)
 	for _, h := range g.b.hosts[:3] {
@@ -1523,7 +1687,7 @@
 			}
 			g.outcome(g.request(0, time.Second), 0, OK, ms) // others are answered meanwhile
 		}
-		if g.b.overdue(h) {
+		if h.overdue(g.now) {
 			t.Errorf("class %d: the host gets nothing more", class)
 		}
 		if !again {
--- a/checkpoint.go
+++ b/checkpoint.go
@@ -385,7 +385,7 @@
 		whole(s, &a.sent)
 		whole(s, &a.result)
 		whole(s, &a.later)
-		for _, f := range []*bool{&a.ended, &a.trial, &a.recall} {
+		for _, f := range []*bool{&a.ended, &a.trial, &a.recall, &a.doubted} {
 			s.flag(f)
 		}
 		if !s.loading {
--- a/checkpoint_test.go
+++ b/checkpoint_test.go
@@ -87,7 +87,7 @@
 		reflect.TypeFor[host](): "Host place rtt rttAt drawn slot sampled pending flight heard limit lat cutAt restUntil class spoilt fails " +
 			"why ejectUntil trialOut cold coldAt coldNext | mark",
 		reflect.TypeFor[request](): "Request arrived deadline expires band out done overdue bound queued atts | class link",
-		reflect.TypeFor[attempt](): "req host sent ended result trial later recall | link",
+		reflect.TypeFor[attempt](): "req host sent ended result trial later recall doubted | link",
 		reflect.TypeFor[failing](): "share at fails outAt until |",
 		reflect.TypeFor[mean]():    "mean dev seen n at |",
 		reflect.TypeFor[bucket]():  "tokens at | rate",
--- a/cmd/dunemoorctl/flight.go
+++ b/cmd/dunemoorctl/flight.go
@@ -20,6 +20,7 @@
 func showCommand() *cobra.Command {
 	var win flight.Window
 	var ejections int
+	var host string
 	cmd := &cobra.Command{
 		Use: "show FILE", Args: cobra.ExactArgs(1),
 		Short: "What became of the requests, why those refused were, and how each host stood",
@@ -33,6 +34,9 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
+			if host != "" {
+				return a.HostText(cmd.OutOrStdout(), host)
+			}
 			a.Text(cmd.OutOrStdout(), ejections)
 			return nil
 		},
@@ -40,6 +44,7 @@
 	cmd.Flags().DurationVar(&win.From, "from", 0, "from this time on, since the first event")
 	cmd.Flags().DurationVar(&win.To, "to", 0, "up to this time; 0: to the end")
 	cmd.Flags().DurationVar(&win.Bucket, "bucket", 500*time.Millisecond, "time that a column stands for")
+	cmd.Flags().StringVar(&host, "host", "", "the figures of this host, a line a column")
 	cmd.Flags().IntVar(&ejections, "ejections", 10, "ejections named")
 	return cmd
 }
--- a/internal/flight/analysis.go
+++ b/internal/flight/analysis.go
@@ -496,3 +496,29 @@
 	slices.Sort(list)
 	return list
 }
+
+// HostText writes the figures of one host, a line a bucket.
+func (a *Analysis) HostText(w io.Writer, name string) error {
+	for _, h := range a.Hosts {
+		if h.label() != name {
+			continue
+		}
+		fmt.Fprintf(w, "%10s %8s %8s %10s  %s\n", "from", "out", "limit", "mean aims", "held, share of the looks")
+		for i := range h.Buckets {
+			b := &h.Buckets[i]
+			if b.Looks == 0 {
+				continue
+			}
+			n := float64(b.Looks)
+			fmt.Fprintf(w, "%10v %8.2f %8.2f %10.3f ", time.Duration(i)*a.Bucket, b.Pending/n, b.Limit/n, b.Mean/n)
+			for _, l := range letters {
+				if x := b.Held[l.word]; x > 0 {
+					fmt.Fprintf(w, " %s %.0f%%", l.word, 100*float64(x)/n)
+				}
+			}
+			fmt.Fprintln(w)
+		}
+		return nil
+	}
+	return fmt.Errorf("the recording has no host %s", name)
+}
--- a/state.go
+++ b/state.go
@@ -118,15 +118,16 @@
 }
 
 type attempt struct {
-	req    *request
-	host   *host
-	sent   Time
-	ended  bool
-	result Result
-	trial  bool
-	later  int           // answers of its host to attempts sent after it
-	recall bool          // it is called off so that its request can be sent again
-	link   node[attempt] // at its host
+	req     *request
+	host    *host
+	sent    Time
+	ended   bool
+	result  Result
+	trial   bool
+	later   int           // answers of its host to attempts sent after it
+	doubted bool          // it was taken for a sign of overload before it ended
+	recall  bool          // it is called off so that its request can be sent again
+	link    node[attempt] // at its host
 }
 
 // mean is a moving average with deviation; the first sample sets it.
--- a/view.go
+++ b/view.go
@@ -23,7 +23,7 @@
 func (b *Balancer) Views(dst []HostView) []HostView {
 	for _, h := range b.hosts {
 		v := HostView{
-			Host: h.ID, State: h.State, Drawn: h.drawn, Cold: h.cold, Overdue: b.overdue(h),
+			Host: h.ID, State: h.State, Drawn: h.drawn, Cold: h.cold, Overdue: h.overdue(b.now),
 			Pending: h.pending, Limit: h.limit, Mean: h.lat.mean, Estimate: b.estimate(h),
 			Why: h.why, Fails: h.fails, EjectUntil: h.ejectUntil, RestUntil: h.restUntil, ColdNext: h.coldNext,
 		}
@@ -63,3 +63,9 @@
 // Waiting is the number of requests that wait for a host, and Bound the sends a second
 // that the Balancer allows itself, 0 where nothing binds it.
 func (b *Balancer) Waiting() (waiting int, bound float64) { return b.queued, b.bound }
+
+// overdue says whether the oldest attempt at a host has taken overdueAims.
+func (h *host) overdue(now Time) bool {
+	a, held := h.oldest()
+	return held > 0 && float64(now-a.sent) > overdueAims*float64(a.req.class.Aim)
+}
