--- a/cmd/dunemoorctl/flight.go
+++ b/cmd/dunemoorctl/flight.go
@@ -13,14 +13,14 @@
 
 func flightCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "flight", Short: "Read recordings of the flight recorder"}
-	cmd.AddCommand(showCommand(), replayCommand())
+	cmd.AddCommand(showCommand(), replayCommand(), tryCommand())
 	return cmd
 }
 
 func showCommand() *cobra.Command {
 	var win flight.Window
 	var ejections int
-	var host string
+	var host, plot string
 	cmd := &cobra.Command{
 		Use: "show FILE", Args: cobra.ExactArgs(1),
 		Short: "What became of the requests, why those refused were, and how each host stood",
@@ -34,6 +34,9 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
+			if plot != "" {
+				return writePlot(a, plot)
+			}
 			if host != "" {
 				return a.HostText(cmd.OutOrStdout(), host)
 			}
@@ -44,11 +47,24 @@
 	cmd.Flags().DurationVar(&win.From, "from", 0, "from this time on, since the first event")
 	cmd.Flags().DurationVar(&win.To, "to", 0, "up to this time; 0: to the end")
 	cmd.Flags().DurationVar(&win.Bucket, "bucket", 500*time.Millisecond, "time that a column stands for")
+	cmd.Flags().StringVar(&plot, "svg", "", "draw the time lines into this file, and print nothing")
 	cmd.Flags().StringVar(&host, "host", "", "the figures of this host, a line a column")
 	cmd.Flags().IntVar(&ejections, "ejections", 10, "ejections named")
 	return cmd
 }
 
+func writePlot(a *flight.Analysis, path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(a.SVG(f), f.Close()); err != nil {
+		os.Remove(path)
+		return err
+	}
+	return nil
+}
+
 var errDiffers = errors.New("this build decides otherwise than was recorded")
 
 func replayCommand() *cobra.Command {
@@ -71,6 +87,9 @@
 			}
 			fmt.Fprintf(out, "%d sessions, %d events, %d actions alike, %d checkpoints agree, %d events skipped\n",
 				rep.Sessions, rep.Events, rep.Actions, rep.Checked, rep.Skipped)
+			if rep.Foreign > 0 {
+				fmt.Fprintf(out, "%d checkpoints are of another build: %s\n", rep.Foreign, rep.ForeignWhy)
+			}
 			if rep.First != nil {
 				fmt.Fprintf(out, "first difference: %v\n", rep.First)
 				return errDiffers
@@ -79,3 +98,30 @@
 		},
 	}
 }
+
+func tryCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "try FILE", Args: cobra.ExactArgs(1),
+		Short: "Play the recorded arrivals against hosts modelled on the recording, with this build's module",
+		Long: "Play the recorded arrivals against hosts modelled on the recording, with this build's module.\n\n" +
+			"To judge a change, try the same file with the builds before and after it. The model is simple\n" +
+			"(docs/design/flight.md), so compare tries with one another rather than with what was recorded.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			in, err := os.Open(args[0])
+			if err != nil {
+				return err
+			}
+			defer in.Close()
+			f, err := flight.Fit(in)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			tried, err := f.Try()
+			if err != nil {
+				return err
+			}
+			f.Compare(cmd.OutOrStdout(), tried)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/dunemoorctl/main_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/flight"
+)
+
+// recorded writes a small recording: two hosts, requests served in turn, under the seed.
+func recorded(t *testing.T, seed, claimed uint64) string {
+	t.Helper()
+	set := lynxspool.Settings{Instances: 1, Classes: []lynxspool.Class{{Aim: time.Second, Deadline: 2 * time.Second}}}
+	bal, err := lynxspool.New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := lynxspool.Time(time.Hour)
+	rec, err := flight.New(bal, flight.Start{Name: "n7", Seed: claimed, At: now, Settings: set, Classes: []string{"look"}}, 1, flight.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec.Name(now, 1, "s-one")
+	rec.Start(now)
+	rec.Hosts(now, lynxspool.ListSaved, []lynxspool.Host{{ID: 1}, {ID: 2}, {ID: 3}})
+	rec.Drain(nil)
+	for i := range lynxspool.RequestID(60) {
+		rec.Request(now, lynxspool.Request{ID: i + 1, Left: 2 * time.Second})
+		rec.Drain(nil)
+		now += 5 * time.Millisecond
+		rec.Outcome(now, lynxspool.Outcome{Request: i + 1, Elapsed: 5 * time.Millisecond, Closed: true})
+		rec.Drain(nil)
+	}
+	path := filepath.Join(t.TempDir(), "x.dmf")
+	if err := os.WriteFile(path, rec.Dump(nil), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func ctl(args ...string) (string, error) {
+	cmd, out := root(), &bytes.Buffer{}
+	cmd.SetArgs(args)
+	cmd.SetOut(out)
+	cmd.SetErr(out)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+func TestFlight(t *testing.T) {
+	path := recorded(t, 7, 7)
+	svg := filepath.Join(t.TempDir(), "x.svg")
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"flight", "replay", path}, "1 sessions, 122 events"},
+		{[]string{"flight", "show", path}, "s-one"},
+		{[]string{"flight", "show", path, "--host", "s-one", "--bucket", "100ms"}, "mean aims"},
+		{[]string{"flight", "try", path}, "this build     60   100.0%"},
+		{[]string{"flight", "show", path, "--svg", svg}, ""},
+	} {
+		if out, err := ctl(c.args...); err != nil || !strings.Contains(out, c.want) {
+			t.Errorf("%q: %v, want %q in\n%s", c.args[1:], err, c.want, out)
+		}
+	}
+	if text, err := os.ReadFile(svg); err != nil || !bytes.HasSuffix(text, []byte("</svg>\n")) {
+		t.Errorf("the plot: %v, %d bytes", err, len(text))
+	}
+}
+
+// What can't be done is an error, and so is a replay that differs.
+func TestFlightErrors(t *testing.T) {
+	text := filepath.Join(t.TempDir(), "text")
+	if err := os.WriteFile(text, []byte(strings.Repeat("no recording\n", 100)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	path := recorded(t, 7, 7)
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"flight", "replay", recorded(t, 7, 8)}, "decides otherwise"},
+		{[]string{"flight", "replay", text}, text + ": this is no recording"},
+		{[]string{"flight", "try", text}, "this is no recording"},
+		{[]string{"flight", "show", "/none/such"}, "no such file"},
+		{[]string{"flight", "show", path, "--host", "s-none"}, "no host s-none"},
+		{[]string{"flight", "show", path, "--from", "1h", "--svg", text + ".svg"}, "nothing to draw"},
+		{[]string{"flight", "show"}, "accepts 1 arg"},
+		{[]string{"fly"}, "unknown command"},
+	} {
+		if out, err := ctl(c.args...); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %q; printed %s", c.args, err, c.want, out)
+		}
+	}
+	if _, err := os.Stat(text + ".svg"); err == nil {
+		t.Error("a plot that failed was left behind")
+	}
+}
--- a/internal/flight/analysis.go
+++ b/internal/flight/analysis.go
@@ -20,7 +20,7 @@
 	Build    string
 	Classes  []string
 	From, To lynxspool.Time
-	Wall     time.Time // of From, by the wall clock at the start of the session
+	Wall     time.Time // of From, by the wall clock as it was at the start of the session
 	Bucket   time.Duration
 	Hosts    []*HostLine
 	Requests []ClassLine
@@ -29,9 +29,7 @@
 	Refusals int // that waited for a host; what Held counts, a share of the hosts each
 	Ejected  []Ejection
 	Ejects   int
-	Missing  []string // what the recording lacks
-
-	began map[lynxspool.Time]bool
+	Viewed   bool // the hosts are as the recorded views have them, not as replayed
 }
 
 // Rates counts what came and what was answered in a bucket.
@@ -72,6 +70,9 @@
 	Pending int
 }
 
+// wallForm is how instants are written: in UTC.
+const wallForm = "2006-01-02T15:04:05.000Z"
+
 const (
 	ejectionsMost = 200 // kept; the rest is counted
 	// looksABucket is how often hosts are looked at within a bucket.
@@ -110,12 +111,14 @@
 	*Analysis
 	win    Window
 	base   lynxspool.Time
+	began  lynxspool.Time // of the session, on the module's clock
 	set    *lynxspool.Settings
 	hosts  map[lynxspool.HostID]*HostLine
 	names  map[lynxspool.HostID]string
 	reqs   map[lynxspool.RequestID]*asked
 	out    map[attemptKey]flying
 	fails  map[lynxspool.HostID]int
+	viewed map[lynxspool.HostID][]HostBucket // as the recording has it
 	lookAt lynxspool.Time
 	views  []lynxspool.HostView
 }
@@ -129,13 +132,16 @@
 		Analysis: &Analysis{Bucket: win.Bucket, Held: map[string]float64{}}, win: win,
 		hosts: map[lynxspool.HostID]*HostLine{}, names: map[lynxspool.HostID]string{},
 		reqs: map[lynxspool.RequestID]*asked{}, out: map[attemptKey]flying{},
-		fails: map[lynxspool.HostID]int{},
+		fails: map[lynxspool.HostID]int{}, viewed: map[lynxspool.HostID][]HostBucket{},
 	}
 	rep, err := Replay(NewReader(in), a.event, a.other)
 	if err != nil {
 		return nil, err
 	}
 	a.Report = *rep
+	if a.First != nil {
+		a.asViewed()
+	}
 	for _, h := range a.Hosts {
 		h.Name = a.names[h.ID]
 	}
@@ -151,9 +157,18 @@
 		for len(a.Requests) < len(a.set.Classes) {
 			a.Requests = append(a.Requests, ClassLine{Why: map[lynxspool.Cause]int{}})
 		}
-		a.Wall = it.Start.Wall
+		if a.From == 0 {
+			a.Wall, a.began = it.Start.Wall, it.Start.At
+		}
 		clear(a.reqs)
 		clear(a.out)
+	case ItemView:
+		if k := a.bucket(it.At); a.base != 0 && k >= 0 {
+			for i := range it.Views {
+				v := &it.Views[i]
+				a.viewed[v.Host] = enter(a.viewed[v.Host], k, v, v.Held(it.At))
+			}
+		}
 	case ItemName:
 		a.names[it.Host] = it.Text
 	case ItemLoss:
@@ -179,6 +194,7 @@
 	if k >= 0 {
 		if a.From == 0 {
 			a.From = e.At
+			a.Wall = a.Wall.Add(e.At - a.began)
 		}
 		a.To = e.At
 		for len(a.Rates) <= k {
@@ -299,21 +315,7 @@
 			continue
 		}
 		h := a.line(v.Host)
-		for len(h.Buckets) <= k {
-			h.Buckets = append(h.Buckets, HostBucket{})
-		}
-		b := &h.Buckets[k]
-		if b.Held == nil {
-			b.Held = map[string]int{}
-		}
-		b.Looks++
-		b.Pending += float64(v.Pending)
-		b.Limit += v.Limit
-		b.Mean += v.Mean
-		if word == "ejected" && v.Why == lynxspool.CauseSilent {
-			word = "silent"
-		}
-		b.Held[word]++
+		h.Buckets = enter(h.Buckets, k, v, word)
 	}
 	if due {
 		a.lookAt = e.At + a.win.Bucket/looksABucket
@@ -329,6 +331,41 @@
 	}
 }
 
+// enter enters a look at a host into its bucket.
+func enter(list []HostBucket, k int, v *lynxspool.HostView, word string) []HostBucket {
+	for len(list) <= k {
+		list = append(list, HostBucket{})
+	}
+	b := &list[k]
+	if b.Held == nil {
+		b.Held = map[string]int{}
+	}
+	b.Looks++
+	b.Pending += float64(v.Pending)
+	b.Limit += v.Limit
+	b.Mean += v.Mean
+	if word == "ejected" && v.Why == lynxspool.CauseSilent {
+		word = "silent"
+	}
+	b.Held[word]++
+	return list
+}
+
+// asViewed puts what the recorded views tell of the hosts in the place of what the replay
+// does. It is for recordings of a build that decided otherwise: the state of a replay is
+// not what the gateway held then.
+func (a *analyser) asViewed() {
+	a.Viewed, a.Held, a.Refusals, a.Ejected, a.Ejects = true, map[string]float64{}, 0, nil, 0
+	for id, list := range a.viewed {
+		a.line(id).Buckets = list
+	}
+	for _, h := range a.Hosts {
+		if a.viewed[h.ID] == nil {
+			h.Buckets = nil
+		}
+	}
+}
+
 func (a *analyser) ejected(v *lynxspool.HostView, e *Event, cause *flying) {
 	a.Ejects++
 	if len(a.Ejected) >= ejectionsMost {
@@ -394,8 +431,12 @@
 	if a.Skipped > 0 {
 		fmt.Fprintf(w, "missing: %d events could not be replayed, as the state before them is not known\n", a.Skipped)
 	}
+	if a.Foreign > 0 {
+		fmt.Fprintf(w, "%d checkpoints are of another build: %s\n", a.Foreign, a.ForeignWhy)
+	}
 	if a.First != nil {
-		fmt.Fprintf(w, "THIS BUILD DECIDES OTHERWISE, what follows is not what the gateway held: %v\n", a.First)
+		fmt.Fprintf(w, "this build decides otherwise: %v\n", a.First)
+		fmt.Fprintln(w, "so the hosts are shown as the recorded views have them, and what held requests back is not known")
 	}
 	span := a.To - a.From
 	fmt.Fprintf(w, "\n%v of traffic\n%-16s %8s %8s %8s %8s %8s %8s %9s %9s\n", span.Round(time.Millisecond),
@@ -424,7 +465,7 @@
 			fmt.Fprintf(w, "%6.1f%% %s\n", 100*a.Held[word]/float64(a.Refusals), word)
 		}
 	}
-	fmt.Fprintf(w, "\n%-18s %v a column, from %v on\n", "", a.Bucket, a.From.Truncate(time.Millisecond))
+	fmt.Fprintf(w, "\n%-18s %v a column, from %s on\n", "", a.Bucket, a.Wall.UTC().Format(wallForm))
 	row := func(name string, f func(Rates) int) {
 		fmt.Fprintf(w, "%-18s ", name+" /s")
 		for _, r := range a.Rates {
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -67,6 +68,10 @@
 	cold := lynxspool.Host{ID: 77, Zone: 1, Cell: 1, Started: part(0.65)}
 	s.Hosts[77] = &SimHost{Speed: 1}
 	s.Lists = append(s.Lists, List{part(0.7), lynxspool.ListChanges, []lynxspool.Host{cold}})
+	// Discovery has moved: the whole list, with one host gone and one in another cell.
+	whole := slices.Clone(list[1:])
+	whole[0].Cell = 2
+	s.Lists = append(s.Lists, List{part(0.85), lynxspool.ListFull, append(whole, cold)})
 	return s
 }
 
--- a/internal/flight/replay.go
+++ b/internal/flight/replay.go
@@ -16,8 +16,11 @@
 	Actions  int // that came out the same
 	Skipped  int // events that could not be told, as the state before them is lost
 	Checked  int // checkpoints that the replayed state agreed with
-	Losses   []string
-	First    *Difference // nil: all that was told came out the same
+	Foreign  int // checkpoints that this build can't read: a replay can't begin there
+
+	ForeignWhy string
+	Losses     []string
+	First      *Difference // nil: all that was told came out the same
 }
 
 // Difference is where a replay first went another way than the recording.
@@ -84,8 +87,9 @@
 			}
 		case ItemCheckpoint:
 			if err := p.checkpoint(it.Checkpoint); err != nil {
-				p.differ("checkpoint", "a state of this build's form", err.Error())
-				p.bal = nil
+				// Of another build: where the state is known all the same, it goes on.
+				p.Foreign++
+				p.ForeignWhy = err.Error()
 			}
 		case ItemEvent:
 			p.tell(&it.Event)
@@ -107,10 +111,14 @@
 	}
 }
 
-func (p *replay) checkpoint(saved []byte) (err error) {
+func (p *replay) checkpoint(saved []byte) error {
 	if p.start == nil {
 		return errors.New("the settings it belongs to are not known")
 	}
+	bal, err := lynxspool.Restore(p.start.Settings, saved)
+	if err != nil {
+		return err
+	}
 	if p.bal != nil && p.First == nil {
 		p.a = p.bal.Checkpoint(p.a[:0])
 		if !bytes.Equal(p.a, saved) {
@@ -119,8 +127,8 @@
 			p.Checked++
 		}
 	}
-	p.bal, err = lynxspool.Restore(p.start.Settings, saved)
-	return err
+	p.bal = bal
+	return nil
 }
 
 func (p *replay) tell(e *Event) {
--- a/internal/flight/sim.go
+++ b/internal/flight/sim.go
@@ -48,6 +48,7 @@
 	Errors []float64 // share of answers that are errors, by class
 	Down   []Span    // connections are refused
 	Silent []Span    // requests are taken and not answered
+	Mute   float64   // share of attempts that are never answered, whatever the host does
 
 	jobs []*simJob // the first is being worked on
 }
@@ -231,7 +232,7 @@
 	case within(h.Down, s.now):
 		s.at(s.now+connectFails, func() { s.end(m, j, lynxspool.ConnectFailed) })
 		return
-	case within(h.Silent, s.now):
+	case within(h.Silent, s.now), h.Mute > 0 && s.Rand.Float64() < h.Mute:
 		r.ran++
 	default:
 		r.ran++
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -50,7 +50,8 @@
 	return cfg
 }
 
-func startGateway(t *testing.T, cfg *Config) *testGateway {
+// startGateway starts one; each of before is called with its loop before that runs.
+func startGateway(t *testing.T, cfg *Config, before ...func(*Loop)) *testGateway {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := NewPool(cfg)
@@ -58,6 +59,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, f := range before {
+		f(loop)
+	}
 	g := &testGateway{T: t, cfg: cfg, loop: loop, server: NewServer(cfg, loop), stop: cancel}
 	ln := listen(t, "127.0.0.1:0", nil)
 	g.url = "http://" + ln.Addr().String()
--- a/internal/gateway/recording.go
+++ b/internal/gateway/recording.go
@@ -8,6 +8,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"regexp"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -58,6 +59,10 @@
 	} `toml:"trigger"`
 }
 
+// decodeError is how the library words a value of the wrong type; it has no type of its
+// own for that.
+var decodeError = regexp.MustCompile(`^toml: line (\d+) \(last key "([^"]*)"\): (.*)$`)
+
 type span time.Duration
 
 func (s *span) UnmarshalText(text []byte) error {
@@ -85,6 +90,9 @@
 		if errors.As(err, &at) {
 			return nil, fmt.Errorf("%s:%d: %s: %s", path, at.Position.Line, at.LastKey, at.Message)
 		}
+		if m := decodeError.FindStringSubmatch(err.Error()); m != nil {
+			return nil, fmt.Errorf("%s:%s: %s: %s", path, m[1], m[2], m[3])
+		}
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	line := func(key string) int { return keyLine(string(text), key) }
--- a/view.go
+++ b/view.go
@@ -69,3 +69,12 @@
 	a, held := h.oldest()
 	return held > 0 && float64(now-a.sent) > overdueAims*float64(a.req.class.Aim)
 }
+
+// Listed appends the hosts as listed, those that have left but still hold attempts
+// included.
+func (b *Balancer) Listed(dst []Host) []Host {
+	for _, h := range b.hosts {
+		dst = append(dst, h.Host)
+	}
+	return dst
+}
