Stand-in nodes, discovery and clients with a ledger; the gateway tried out by two commands

Need: what later work must prove ('ran twice', 'never answered') has to be counted by something that does not know the gateway, and a newcomer could see nothing work without a platform.

Change: internal/standin: nodes that crash, hang, go silent, reset or close at a byte, turn away, start cold and crowd; discovery with watches and silence; an open load that ends by itself and goes to loopback only; a ledger of what was asked and what ran. cmd/standin starts a fleet and writes a gateway's configuration.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,190 @@
+// Command standin starts a small fleet of stand-in nodes on loopback, writes a gateway's
+// configuration for it, asks that gateway for a while, and counts what became of it all. It
+// ends by itself; the exit code is 1 if a rule was broken.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"lynxspool/internal/standin"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// fault is one entry of -fault: what happens to which node, when, and for how long.
+type fault struct {
+	mode string
+	node int
+	at   time.Duration
+	last time.Duration
+}
+
+var modes = map[string]standin.Mode{
+	"full": standin.Full, "errors": standin.Errors, "hang": standin.Hang, "reset": standin.ResetAt, "close": standin.CloseAt,
+}
+
+// parseFaults reads "crash:0@3s+4s,hang:2@8s+2s".
+func parseFaults(text string, nodes int) (list []fault, err error) {
+	for _, s := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
+		mode, rest, ok1 := strings.Cut(s, ":")
+		node, rest, ok2 := strings.Cut(rest, "@")
+		at, last, ok3 := strings.Cut(rest, "+")
+		f := fault{mode: mode}
+		_, known := modes[mode]
+		if !ok1 || !ok2 || !ok3 || !known && mode != "crash" && mode != "drain" {
+			return nil, fmt.Errorf("-fault: %q is not like \"crash:0@3s+4s\"; kinds: crash, drain, full, errors, hang, reset, close", s)
+		}
+		if f.node, err = strconv.Atoi(node); err != nil || f.node < 0 || f.node >= nodes {
+			return nil, fmt.Errorf("-fault: %q: node %q is not from 0 to %d", s, node, nodes-1)
+		}
+		if f.at, err = time.ParseDuration(at); err != nil {
+			return nil, fmt.Errorf("-fault: %q: %v", s, err)
+		}
+		if f.last, err = time.ParseDuration(last); err != nil {
+			return nil, fmt.Errorf("-fault: %q: %v", s, err)
+		}
+		list = append(list, f)
+	}
+	return list, nil
+}
+
+func run(args []string) error {
+	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
+	nodes := flags.Int("nodes", 6, "nodes, 1 to 64")
+	rate := flags.Float64("rate", 100, "requests a second")
+	count := flags.Int("count", 2000, "requests in all")
+	work := flags.Duration("work", 20*time.Millisecond, "mean work of a request")
+	listen := flags.String("gateway", "127.0.0.1:9000", "where the gateway listens or will")
+	config := flags.String("config", "", "write the gateway's configuration to this `file`")
+	wait := flags.Duration("wait", time.Minute, "how long the gateway may take to get ready")
+	faults := flags.String("fault", "", "what goes wrong, like \"crash:0@3s+4s,hang:2@8s+2s\"")
+	seed := flags.Uint64("seed", 1, "of work and arrivals")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if *nodes < 1 || *nodes > 64 {
+		return fmt.Errorf("-nodes: %d is not from 1 to 64", *nodes)
+	}
+	list, err := parseFaults(*faults, *nodes)
+	if err != nil {
+		return err
+	}
+	healthy := standin.Behaviour{Work: *work, Cold: 3 * time.Second, ColdFrom: 0.4}
+	fleet, err := standin.StartFleet(*nodes, *seed, healthy)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	classes := standin.Classes()
+	if *config != "" {
+		if err := os.WriteFile(*config, fleet.Config("n0", *listen, classes), 0o600); err != nil {
+			return err
+		}
+		fmt.Printf("%d nodes are up; start the gateway: GW_CONFIG=%s bin/dunemoor\n", *nodes, *config)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	url := "http://" + *listen
+	if err := ready(ctx, url, *wait); err != nil {
+		return err
+	}
+	for _, f := range list {
+		time.AfterFunc(f.at, func() { happen(fleet, f, healthy) })
+	}
+	load := standin.Load{URL: url, Rate: *rate, Count: *count, Classes: classes, Seed: *seed, Retries: 2}
+	if err := load.Run(ctx, fleet.Ledger); err != nil {
+		return err
+	}
+	c := fleet.Ledger.Count()
+	print(&c)
+	if broken := c.Broken(); broken != "" {
+		return fmt.Errorf("rules broken: %s", broken)
+	}
+	return nil
+}
+
+// happen has a fault begin, and end after its time.
+func happen(fleet *standin.Fleet, f fault, healthy standin.Behaviour) {
+	n := fleet.Nodes[f.node]
+	fmt.Printf("%s: %s\n", n.Name, f.mode)
+	back := func() { n.Behave(healthy) }
+	switch f.mode {
+	case "crash":
+		n.Crash()
+		back = func() {
+			if err := n.Start(); err != nil {
+				fmt.Fprintf(os.Stderr, "standin: %s: %v\n", n.Name, err)
+				return
+			}
+			fleet.List(f.node, "ready")
+		}
+	case "drain":
+		fleet.List(f.node, "draining")
+		back = func() { fleet.List(f.node, "ready") }
+	default:
+		b := healthy
+		b.Mode, b.Byte = modes[f.mode], 20
+		n.Behave(b)
+	}
+	time.AfterFunc(f.last, func() {
+		back()
+		fmt.Printf("%s: well again\n", n.Name)
+	})
+}
+
+// ready waits until the gateway says that it can serve.
+func ready(ctx context.Context, url string, most time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/_health", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := http.DefaultClient.Do(r); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("no gateway is ready at %s", url)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func print(c *standin.Count) {
+	names := make([]string, 0, len(c.ByClass))
+	for name := range c.ByClass {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	fmt.Printf("%-10s %8s %8s %8s %8s %8s\n", "class", "asked", "served", "refused", "failed", "lost")
+	for _, name := range names {
+		by := c.ByClass[name]
+		asked := 0
+		for _, n := range by {
+			asked += n
+		}
+		fmt.Printf("%-10s %8d %8d %8d %8d %8d\n", name, asked, by[standin.Served], by[standin.Refused], by[standin.Failed],
+			by[standin.Lost]+by[standin.Nothing]+by[standin.Open])
+	}
+	fmt.Printf("%d runs on the nodes, %d ran twice that must not, %d unanswered\n", c.Runs, len(c.Twice), c.Ends[standin.Nothing]+c.Ends[standin.Open])
+}
--- /dev/null
+++ b/cmd/standin/main_test.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestParseFaults(t *testing.T) {
+	list, err := parseFaults("crash:0@3s+4s,hang:2@500ms+2s", 3)
+	if err != nil || len(list) != 2 || list[1] != (fault{"hang", 2, 500 * time.Millisecond, 2 * time.Second}) {
+		t.Errorf("%+v, %v", list, err)
+	}
+	for text, want := range map[string]string{
+		"crash":         "is not like",
+		"melt:0@1s+1s":  "kinds: crash",
+		"crash:9@1s+1s": "not from 0 to 2",
+		"crash:0@x+1s":  "invalid duration",
+		"crash:0@1s+":   "invalid duration",
+	} {
+		if _, err := parseFaults(text, 3); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	if err := run([]string{"-nodes", "65"}); err == nil || !strings.Contains(err.Error(), "1 to 64") {
+		t.Errorf("65 nodes: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/ledger.go
@@ -0,0 +1,173 @@
+// Package standin has scripted stand-ins for what a gateway talks to: nodes, discovery and
+// clients, on loopback sockets. They keep a ledger, so that 'ran twice' and 'never answered'
+// are counted facts. They know nothing of the gateway's code.
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Effect says what a repeat of a request may do, as the clients mean it.
+type Effect uint8
+
+// Effects.
+const (
+	Safe   Effect = iota
+	Keyed         // nodes of one group drop repeats of a key for a window
+	Unsafe        // must never run twice
+)
+
+// Run is one request that a node began to work on.
+type Run struct {
+	ID, Key string
+	Node    string
+	Group   string
+	At      time.Time
+}
+
+// Outcome is how a request ended for its client.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Open    Outcome = iota // asked, and nothing has come yet
+	Served                 // 200 with the answer that a node made for it
+	Refused                // 429 or 503
+	Failed                 // any other answer
+	Lost                   // the connection ended without one, or what came was no answer to it
+	Nothing                // the time was up and nothing had come
+	outcomes
+)
+
+var outcomeNames = [...]string{"open", "served", "refused", "failed", "lost", "unanswered"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Ask is a request of a client.
+type Ask struct {
+	Class   string
+	Effect  Effect
+	Key     string
+	Window  time.Duration // of Keyed
+	Outcome Outcome
+	Took    time.Duration
+	Status  int
+}
+
+// Ledger holds what was asked and what ran. Its size is that of the test: it forgets nothing.
+type Ledger struct {
+	mu   sync.Mutex
+	asks map[string]*Ask
+	runs map[string][]Run // by id
+	made map[string]string
+	ends int
+	// Stray are ids that ran and were never asked for.
+	stray []string
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger {
+	return &Ledger{asks: map[string]*Ask{}, runs: map[string][]Run{}, made: map[string]string{}}
+}
+
+// Asked enters a request before it is sent.
+func (l *Ledger) Asked(id string, a Ask) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asks[id] = &a
+}
+
+// Ended enters how a request ended for its client.
+func (l *Ledger) Ended(id string, o Outcome, status int, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.asks[id]; a != nil && a.Outcome == Open {
+		a.Outcome, a.Status, a.Took = o, status, took
+		l.ends++
+	}
+}
+
+// Ran enters that a node begins a request, and says whether it drops it as the repeat of a
+// key that its group has seen within the window.
+func (l *Ledger) Ran(r Run) (dropped bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.asks[r.ID]
+	if a == nil {
+		l.stray = append(l.stray, r.ID)
+		return false
+	}
+	if a.Effect == Keyed {
+		for _, other := range l.runs[r.ID] {
+			if other.Group == r.Group && r.At.Sub(other.At) <= a.Window {
+				return true
+			}
+		}
+	}
+	l.runs[r.ID] = append(l.runs[r.ID], r)
+	return false
+}
+
+// Count sums up a ledger.
+type Count struct {
+	Asked   int
+	Ends    [outcomes]int
+	ByClass map[string][outcomes]int
+	Runs    int
+	Twice   []string // what must not run twice and did
+	Harm    []string // refused, which says that trying again is harmless, yet it may have run
+	Stray   []string
+}
+
+// Count counts, as of now.
+func (l *Ledger) Count() Count {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := Count{ByClass: map[string][outcomes]int{}, Stray: slices.Clone(l.stray)}
+	for id, a := range l.asks {
+		c.Asked++
+		c.Ends[a.Outcome]++
+		by := c.ByClass[a.Class]
+		by[a.Outcome]++
+		c.ByClass[a.Class] = by
+		n := len(l.runs[id])
+		c.Runs += n
+		if a.Effect != Safe && n > 1 {
+			c.Twice = append(c.Twice, id)
+		}
+		if a.Effect == Unsafe && a.Outcome == Refused && n > 0 {
+			c.Harm = append(c.Harm, id)
+		}
+	}
+	slices.Sort(c.Twice)
+	slices.Sort(c.Harm)
+	return c
+}
+
+// Broken names the rules that are broken; none is "".
+func (c *Count) Broken() string {
+	var s []string
+	for _, x := range []struct {
+		what string
+		n    int
+	}{
+		{"ran twice", len(c.Twice)}, {"refused though they ran", len(c.Harm)}, {"ran and were never asked for", len(c.Stray)},
+		{"lost", c.Ends[Lost]}, {"never answered", c.Ends[Nothing] + c.Ends[Open]},
+	} {
+		if x.n > 0 {
+			s = append(s, fmt.Sprintf("%d %s", x.n, x.what))
+		}
+	}
+	return strings.Join(s, ", ")
+}
+
+// Open is the number of requests that have not ended.
+func (l *Ledger) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.asks) - l.ends
+}
