The appliance's file, read strictly; dunemoorctl check and routes

Need: a small site describes its services in a file, and whoever looks after it must see a mistake before it serves, and where a request would go.

Change: internal/config reads listeners, classes, pools and routes; each mistake is a line with file, line and field, several at once, ambiguous routes with both lines. The library names the last table of a name for a value of the wrong type; reading up to each table finds the right one. The recorder's settings use the same code. dunemoorctl check and routes. The gateway does not serve by the file yet.

--- a/cmd/dunemoorctl/main.go
+++ b/cmd/dunemoorctl/main.go
@@ -21,6 +21,6 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	cmd.CompletionOptions.DisableDefaultCmd = true
-	cmd.AddCommand(flightCommand())
+	cmd.AddCommand(flightCommand(), checkCommand(), routesCommand())
 	return cmd
 }
--- a/cmd/dunemoorctl/main_test.go
+++ b/cmd/dunemoorctl/main_test.go
@@ -102,3 +102,59 @@
 		t.Error("a plot that failed was left behind")
 	}
 }
+
+const example = "../../deploy/appliance.toml"
+
+func TestRoutes(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		want []string
+	}{
+		{[]string{"GET", "http://Calendar.Example.org:80/days/G41"}, []string{"GET calendar.example.org/days/G41", `route "calendar", line`,
+			"calendar 90%, calendar-next 10%", "below, a part goes to calendar-old"}},
+		{[]string{"get", "http://calendar.example.org/", "-H", "X-Household: 12"}, []string{"by X-Household: 12"}},
+		{[]string{"HEAD", "http://any/address/x"}, []string{`route "address"`, "method GET or HEAD", "class lookup, 2s", "pool address"}},
+		{[]string{"POST", "http://any/address/x"}, []string{"answered 404"}},
+		{[]string{"GET", "http://any/address/../x"}, []string{"answered 400: the path"}},
+		{[]string{"GET", "http://any/a%2Fb"}, []string{"answered 400: the path"}},
+	} {
+		out, err := ctl(append([]string{"routes", example}, c.args...)...)
+		if err != nil {
+			t.Errorf("%q: %v", c.args, err)
+		}
+		for _, want := range c.want {
+			if !strings.Contains(out, want) {
+				t.Errorf("%q: lacks %q in\n%s", c.args, want, out)
+			}
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	if out, err := ctl("check", example); err != nil || !strings.Contains(out, "1 listeners, 3 classes, 4 pools, 2 routes") {
+		t.Errorf("%v, %s", err, out)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = bytes.Replace(text, []byte(`effect = "safe"`), []byte(`effect = "save"`), 1)
+	text = bytes.Replace(text, []byte(`pool = "address"`), []byte(`pool = "adress"`), 1)
+	if err := os.WriteFile(bad, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := ctl("check", bad)
+	if err == nil || !strings.Contains(err.Error(), "mistakes") || strings.Count(out, bad+":") != 3 {
+		t.Errorf("%v, printed %s", err, out)
+	}
+	for args, want := range map[string]string{
+		"routes " + example + " GET /x":            "is no URL",
+		"routes " + example + " GET http://x -H y": "is not like",
+		"routes " + bad + " GET http://x":          "mistakes",
+	} {
+		if _, err := ctl(strings.Fields(args)...); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", args, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/appliance.go
@@ -0,0 +1,433 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/route"
+)
+
+// Appliance is the file of a gateway that stands by itself, checked and with its defaults.
+type Appliance struct {
+	Name      string
+	Limits    Limits
+	Listeners []Listener
+	Classes   []Class
+	Pools     []Pool
+	Routes    []Route
+	Table     *route.Table // of Routes, in their order
+}
+
+// Limits are what the process may use.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// Listener is where clients connect.
+type Listener struct {
+	Name, Address, Protocol string
+}
+
+// Class is a kind of request.
+type Class struct {
+	Name string
+	lynxspool.Class
+}
+
+// Pool is the hosts of a service.
+type Pool struct {
+	Name      string
+	Members   []Member
+	File      string // members are read from it, and again when it changes
+	Discovery string // host:port that tells the members
+	Need      float64
+	Fallback  []string
+	Sockets   float64 // its part of the descriptors for hosts
+	Cold      Cold
+}
+
+// Cold says how hosts start.
+type Cold struct {
+	From      float64
+	WarmAfter time.Duration
+}
+
+// Member is a host of a static list.
+type Member struct {
+	ID, Address, Zone, Kind string
+	Cell                    int
+}
+
+// Route is a route with what it gives to requests that bring none of our headers.
+type Route struct {
+	Class      string // "": the class header says
+	Timeout    time.Duration
+	Repeatable []string // methods that may be sent again though they are not safe
+	RetryShare float64
+	RetryFloor float64
+}
+
+// Defaults and bounds of the file.
+const (
+	defaultMemoryMB   = 64
+	defaultSockets    = 1024
+	leastSockets      = 64
+	defaultTimeout    = 10 * time.Second
+	longestTimeout    = time.Hour
+	defaultRetryShare = 0.2
+	defaultRetryFloor = 1
+	maxPools          = 256 // each has a module and its share of memory
+	maxClasses        = 64
+	maxMembers        = 5000
+)
+
+// protocols that listeners speak.
+var protocols = []string{"http1"}
+
+// applianceFile is the form of the file.
+type applianceFile struct {
+	Name   string
+	Limits struct {
+		Cores    float64
+		MemoryMB int `toml:"memory_mb"`
+		Sockets  int
+	}
+	Listener []struct{ Name, Address, Protocol string }
+	Class    []struct {
+		Name   string
+		Aim    Span
+		Limit  Span `toml:"deadline"`
+		Worth  float64
+		Effect string
+		Group  string
+		Window Span
+	}
+	Pool []struct {
+		Name      string
+		Members   []memberFile
+		File      string `toml:"members_file"`
+		Discovery string
+		Need      float64
+		Fallback  []string
+		Sockets   float64
+		ColdFrom  float64 `toml:"cold_from"`
+		WarmAfter Span    `toml:"warm_after"`
+	}
+	Route []struct {
+		Name       string
+		Hosts      []string
+		Path       string
+		Methods    []string
+		Headers    map[string]string
+		Pool       string
+		Split      map[string]int
+		SplitBy    string `toml:"split_by"`
+		Class      string
+		Timeout    Span
+		Repeatable []string
+		RetryShare *float64 `toml:"retry_share"`
+		RetryFloor *float64 `toml:"retry_floor"`
+	}
+}
+
+type memberFile struct {
+	ID, Address, Zone, Kind string
+	Cell                    int
+}
+
+var effects = map[string]lynxspool.Effect{"safe": lynxspool.Safe, "keyed": lynxspool.Keyed, "unsafe": lynxspool.Unsafe}
+
+var groups = map[string]lynxspool.Group{
+	"": lynxspool.GroupAll, "all": lynxspool.GroupAll, "zone": lynxspool.GroupZone, "cell": lynxspool.GroupCell,
+}
+
+// checker collects what is wrong with a file.
+type checker struct {
+	*Text
+	wrong []error
+}
+
+// bad notes an error at a key of the n-th table of a name.
+func (c *checker) bad(table string, n int, key, format string, args ...any) {
+	field := strings.TrimPrefix(table+"."+key, ".")
+	c.wrong = append(c.wrong, c.Error(c.Line(table, n, key), strings.TrimSuffix(field, "."), format, args...))
+}
+
+// within notes an error where x is out of bounds.
+func (c *checker) within(table string, n int, key string, x, least, most float64) {
+	if !(x >= least && x <= most) {
+		c.bad(table, n, key, "%v is not between %v and %v", x, least, most)
+	}
+}
+
+// LoadAppliance reads a file. All that is wrong is said, a line each.
+func LoadAppliance(path string) (*Appliance, []error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []error{err}
+	}
+	return ParseAppliance(path, string(text))
+}
+
+// ParseAppliance reads the text of a file.
+func ParseAppliance(path, text string) (*Appliance, []error) {
+	c := &checker{Text: NewText(path, text)}
+	var f applianceFile
+	if err := c.Decode(&f); err != nil {
+		return nil, []error{err}
+	}
+	a := &Appliance{Name: f.Name, Limits: Limits(f.Limits)}
+	if a.Name == "" {
+		c.bad("", 0, "name", "is missing: what this gateway is called")
+	}
+	if a.Limits.MemoryMB == 0 {
+		a.Limits.MemoryMB = defaultMemoryMB
+	}
+	if a.Limits.Sockets == 0 {
+		a.Limits.Sockets = defaultSockets
+	}
+	c.within("limits", 0, "memory_mb", float64(a.Limits.MemoryMB), 16, 1<<20)
+	c.within("limits", 0, "sockets", float64(a.Limits.Sockets), leastSockets, 1<<20)
+	c.within("limits", 0, "cores", a.Limits.Cores, 0, 1024)
+	c.listeners(a, &f)
+	c.classes(a, &f)
+	c.pools(a, &f)
+	c.routes(a, &f)
+	if len(c.wrong) > 0 {
+		return nil, c.wrong
+	}
+	return a, nil
+}
+
+func (c *checker) listeners(a *Appliance, f *applianceFile) {
+	if len(f.Listener) == 0 {
+		c.bad("", 0, "listener", "there is none: clients could not connect")
+	}
+	for i, l := range f.Listener {
+		if l.Protocol == "" {
+			l.Protocol = protocols[0]
+		}
+		if !slices.Contains(protocols, l.Protocol) {
+			c.bad("listener", i, "protocol", "%q is none of %s", l.Protocol, strings.Join(protocols, ", "))
+		}
+		if !hostPort(l.Address) {
+			c.bad("listener", i, "address", "%q is no address like \"127.0.0.1:8080\"", l.Address)
+		}
+		if l.Name == "" {
+			l.Name = l.Address
+		}
+		for k, o := range a.Listeners {
+			if o.Address == l.Address {
+				c.bad("listener", i, "address", "%q is listened on already (line %d)", l.Address, c.Line("listener", k, "address"))
+			} else if o.Name == l.Name {
+				c.bad("listener", i, "name", "%q is taken (line %d)", l.Name, c.Line("listener", k, "name"))
+			}
+		}
+		a.Listeners = append(a.Listeners, Listener(l))
+	}
+}
+
+func hostPort(addr string) bool {
+	_, port, err := net.SplitHostPort(addr)
+	return err == nil && port != ""
+}
+
+func (c *checker) classes(a *Appliance, f *applianceFile) {
+	if len(f.Class) == 0 {
+		c.bad("", 0, "class", "there is none: a route needs one")
+	}
+	if len(f.Class) > maxClasses {
+		c.bad("class", maxClasses, "", "more than %d classes", maxClasses)
+	}
+	for i, x := range f.Class {
+		k := Class{Name: x.Name}
+		k.Aim, k.Deadline, k.Worth, k.Window = time.Duration(x.Aim), time.Duration(x.Limit), x.Worth, time.Duration(x.Window)
+		var ok bool
+		if k.Effect, ok = effects[x.Effect]; !ok {
+			c.bad("class", i, "effect", "%q is none of safe, keyed, unsafe", x.Effect)
+		}
+		if k.Group, ok = groups[x.Group]; !ok {
+			c.bad("class", i, "group", "%q is none of all, zone, cell", x.Group)
+		}
+		switch {
+		case x.Name == "":
+			c.bad("class", i, "name", "is missing")
+		case slices.ContainsFunc(a.Classes, func(o Class) bool { return o.Name == x.Name }):
+			c.bad("class", i, "name", "%q is taken (line %d)", x.Name, c.Line("class", slices.IndexFunc(a.Classes, func(o Class) bool { return o.Name == x.Name }), "name"))
+		}
+		if k.Deadline <= 0 || k.Deadline > longestTimeout {
+			c.bad("class", i, "deadline", "%v is not above 0 and up to %v", k.Deadline, longestTimeout)
+		}
+		if k.Aim < 0 || k.Aim > k.Deadline {
+			c.bad("class", i, "aim", "%v is not between 0 and the deadline", k.Aim)
+		}
+		if k.Window < 0 || k.Window > longestTimeout {
+			c.bad("class", i, "window", "%v is not between 0 and %v", k.Window, longestTimeout)
+		}
+		if k.Effect == lynxspool.Keyed && k.Window == 0 {
+			c.bad("class", i, "window", "is missing: for how long do hosts drop the repeats of a key")
+		}
+		c.within("class", i, "worth", k.Worth, 0, 1e6)
+		a.Classes = append(a.Classes, k)
+	}
+}
+
+func (c *checker) pools(a *Appliance, f *applianceFile) {
+	if len(f.Pool) == 0 {
+		c.bad("", 0, "pool", "there is none: requests have nowhere to go")
+	}
+	if len(f.Pool) > maxPools {
+		c.bad("pool", maxPools, "", "more than %d pools", maxPools)
+	}
+	at := map[string]int{}
+	for i, x := range f.Pool {
+		p := Pool{
+			Name: x.Name, File: x.File, Discovery: x.Discovery, Need: x.Need, Fallback: x.Fallback, Sockets: x.Sockets,
+			Cold: Cold{x.ColdFrom, time.Duration(x.WarmAfter)},
+		}
+		if first, taken := at[x.Name]; taken {
+			c.bad("pool", i, "name", "%q is taken (line %d)", x.Name, c.Line("pool", first, "name"))
+		} else if at[x.Name] = i; x.Name == "" {
+			c.bad("pool", i, "name", "is missing")
+		}
+		sources := 0
+		for _, has := range []bool{len(x.Members) > 0, x.File != "", x.Discovery != ""} {
+			if has {
+				sources++
+			}
+		}
+		if sources != 1 {
+			c.bad("pool", i, "name", "it needs one of members, members_file and discovery, it has %d", sources)
+		}
+		if x.Discovery != "" && !hostPort(x.Discovery) {
+			c.bad("pool", i, "discovery", "%q is no host:port", x.Discovery)
+		}
+		if p.Need == 0 {
+			p.Need = route.DefaultNeed
+		}
+		c.within("pool", i, "need", p.Need, 0.01, 1)
+		c.within("pool", i, "sockets", p.Sockets, 0, 1)
+		c.within("pool", i, "cold_from", p.Cold.From, 0, 1)
+		c.within("pool", i, "warm_after", p.Cold.WarmAfter.Seconds(), 0, longestTimeout.Seconds())
+		if len(x.Members) > maxMembers {
+			c.bad("pool", i, "members", "more than %d", maxMembers)
+		}
+		ids := map[string]bool{}
+		for _, m := range x.Members {
+			if m.ID == "" {
+				m.ID = m.Address
+			}
+			if !hostPort(m.Address) {
+				c.bad("pool", i, "members", "%q is no host:port", m.Address)
+			}
+			if ids[m.ID] {
+				c.bad("pool", i, "members", "%q is there twice", m.ID)
+			}
+			ids[m.ID] = true
+			p.Members = append(p.Members, Member(m))
+		}
+		a.Pools = append(a.Pools, p)
+	}
+	for i, p := range a.Pools {
+		for k, name := range p.Fallback {
+			switch _, there := at[name]; {
+			case !there:
+				c.bad("pool", i, "fallback", "%q: there is no pool of that name", name)
+			case name == p.Name:
+				c.bad("pool", i, "fallback", "%q is the pool itself", name)
+			case slices.Contains(p.Fallback[:k], name):
+				c.bad("pool", i, "fallback", "%q is there twice", name)
+			}
+		}
+	}
+}
+
+func (c *checker) routes(a *Appliance, f *applianceFile) {
+	if len(f.Route) == 0 {
+		c.bad("", 0, "route", "there is none: no request would be served")
+	}
+	var names []string
+	used := map[string]bool{}
+	for _, p := range a.Pools {
+		names = append(names, p.Name)
+	}
+	var rules []route.Rule
+	for i, x := range f.Route {
+		r := Route{
+			Class: x.Class, Timeout: time.Duration(x.Timeout), Repeatable: x.Repeatable,
+			RetryShare: defaultRetryShare, RetryFloor: defaultRetryFloor,
+		}
+		if r.Timeout == 0 {
+			r.Timeout = defaultTimeout
+		}
+		c.within("route", i, "timeout", r.Timeout.Seconds(), 0.001, longestTimeout.Seconds())
+		if x.RetryShare != nil {
+			r.RetryShare = *x.RetryShare
+		}
+		if x.RetryFloor != nil {
+			r.RetryFloor = *x.RetryFloor
+		}
+		c.within("route", i, "retry_share", r.RetryShare, 0, 3)
+		c.within("route", i, "retry_floor", r.RetryFloor, 0, math.MaxInt32)
+		if x.Class != "" && !slices.ContainsFunc(a.Classes, func(k Class) bool { return k.Name == x.Class }) {
+			c.bad("route", i, "class", "%q: there is no class of that name", x.Class)
+		}
+		for _, m := range x.Repeatable {
+			if m != "PUT" && m != "DELETE" {
+				c.bad("route", i, "repeatable", "%q: only PUT and DELETE can be said to be, GET, HEAD and OPTIONS are, POST is not", m)
+			}
+		}
+		rule := route.Rule{
+			Name: x.Name, Line: c.Line("route", i, ""), Hosts: x.Hosts, Path: x.Path, Methods: x.Methods, SplitBy: x.SplitBy,
+		}
+		for name, value := range x.Headers {
+			rule.Headers = append(rule.Headers, route.Header{Name: name, Value: value})
+		}
+		slices.SortFunc(rule.Headers, func(p, q route.Header) int { return strings.Compare(p.Name, q.Name) })
+		switch {
+		case x.Pool != "" && len(x.Split) > 0:
+			c.bad("route", i, "pool", "it has both pool and split")
+		case x.Pool != "":
+			rule.Split = []route.Share{{Pool: x.Pool, Weight: 1}}
+		}
+		for name, weight := range x.Split {
+			rule.Split = append(rule.Split, route.Share{Pool: name, Weight: weight})
+		}
+		slices.SortFunc(rule.Split, func(p, q route.Share) int { return strings.Compare(p.Pool, q.Pool) })
+		for _, s := range rule.Split {
+			used[s.Pool] = true
+		}
+		rules = append(rules, rule)
+		a.Routes = append(a.Routes, r)
+	}
+	table, problems := route.Compile(rules, names)
+	for _, p := range problems {
+		field := fmt.Sprintf("route %q", p.Rule)
+		text := p.Text
+		if p.Other > 0 {
+			text += fmt.Sprintf(" (line %d)", p.Other)
+		}
+		c.wrong = append(c.wrong, c.Error(p.Line, field, "%s", text))
+	}
+	a.Table = table
+	for _, p := range a.Pools {
+		if used[p.Name] {
+			for _, name := range p.Fallback {
+				used[name] = true
+			}
+		}
+	}
+	for i, p := range a.Pools {
+		if !used[p.Name] && p.Name != "" {
+			c.bad("pool", i, "name", "no route uses %q, nor does it stand in for one that is used", p.Name)
+		}
+	}
+}
--- a/internal/gateway/recording.go
+++ b/internal/gateway/recording.go
@@ -2,21 +2,17 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 	"math"
 	"os"
 	"path/filepath"
-	"regexp"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"lynxspool"
+	"lynxspool/internal/config"
 	"lynxspool/internal/flight"
 )
 
@@ -46,34 +42,19 @@
 
 // recordingFile is the form of the file. Spans are text like "250ms".
 type recordingFile struct {
-	RingKB    int    `toml:"ring_kb"`
-	ViewEvery span   `toml:"view_every"`
-	Dir       string `toml:"dir"`
-	File      string `toml:"file"`
-	FileMB    int    `toml:"file_mb"`
+	RingKB    int         `toml:"ring_kb"`
+	ViewEvery config.Span `toml:"view_every"`
+	Dir       string      `toml:"dir"`
+	File      string      `toml:"file"`
+	FileMB    int         `toml:"file_mb"`
 	Trigger   struct {
-		Refused float64 `toml:"refused"`
-		Within  span    `toml:"within"`
-		Least   int     `toml:"least"`
-		Pause   span    `toml:"pause"`
+		Refused float64     `toml:"refused"`
+		Within  config.Span `toml:"within"`
+		Least   int         `toml:"least"`
+		Pause   config.Span `toml:"pause"`
 	} `toml:"trigger"`
 }
 
-// decodeError is how the library words a value of the wrong type; it has no type of its
-// own for that.
-var decodeError = regexp.MustCompile(`^toml: line (\d+) \(last key "([^"]*)"\): (.*)$`)
-
-type span time.Duration
-
-func (s *span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no time like \"250ms\"", text)
-	}
-	*s = span(d)
-	return nil
-}
-
 // LoadRecording reads the file. An error is one line that names file, line and field.
 func LoadRecording(path string) (*RecordingConfig, error) {
 	text, err := os.ReadFile(path)
@@ -81,30 +62,24 @@
 		return nil, err
 	}
 	f := recordingFile{
-		RingKB: ringDefault >> 10, ViewEvery: span(viewDefault), FileMB: fileDefault >> 20,
+		RingKB: ringDefault >> 10, ViewEvery: config.Span(viewDefault), FileMB: fileDefault >> 20,
 	}
-	f.Trigger.Within, f.Trigger.Pause, f.Trigger.Least = span(withinDefault), span(pauseDefault), leastDefault
-	meta, err := toml.Decode(string(text), &f)
-	if err != nil {
-		var at toml.ParseError
-		if errors.As(err, &at) {
-			return nil, fmt.Errorf("%s:%d: %s: %s", path, at.Position.Line, at.LastKey, at.Message)
-		}
-		if m := decodeError.FindStringSubmatch(err.Error()); m != nil {
-			return nil, fmt.Errorf("%s:%s: %s: %s", path, m[1], m[2], m[3])
-		}
-		return nil, fmt.Errorf("%s: %w", path, err)
+	f.Trigger.Within, f.Trigger.Pause, f.Trigger.Least = config.Span(withinDefault), config.Span(pauseDefault), leastDefault
+	file := config.NewText(path, string(text))
+	if err := file.Decode(&f); err != nil {
+		return nil, err
 	}
-	line := func(key string) int { return keyLine(string(text), key) }
-	if odd := meta.Undecoded(); len(odd) > 0 {
-		key := odd[0].String()
-		return nil, fmt.Errorf("%s:%d: %s: there is no such setting", path, line(key), key)
+	line := func(key string) int {
+		if table, last, ok := strings.Cut(key, "."); ok {
+			return file.Line(table, 0, last)
+		}
+		return file.Line("", 0, key)
 	}
 	within := func(key string, x, least, most float64) error {
 		if x >= least && x <= most {
 			return nil
 		}
-		return fmt.Errorf("%s:%d: %s: %v is not between %v and %v", path, line(key), key, x, least, most)
+		return file.Error(line(key), key, "%v is not between %v and %v", x, least, most)
 	}
 	for _, err := range []error{
 		within("ring_kb", float64(f.RingKB), ringLeast>>10, ringMost>>10),
@@ -128,45 +103,21 @@
 		},
 	}
 	if c.Dir == "" && c.Trigger.Share > 0 {
-		return nil, fmt.Errorf("%s:%d: trigger.refused: dir is not set, where would the recording go", path, line("trigger.refused"))
+		return nil, file.Error(line("trigger.refused"), "trigger.refused", "dir is not set, where would the recording go")
 	}
 	if c.Dir != "" {
 		if st, err := os.Stat(c.Dir); err != nil || !st.IsDir() {
-			return nil, fmt.Errorf("%s:%d: dir: %s is no folder", path, line("dir"), c.Dir)
+			return nil, file.Error(line("dir"), "dir", "%s is no folder", c.Dir)
 		}
 	}
 	if c.File != "" {
 		if st, err := os.Stat(filepath.Dir(c.File)); err != nil || !st.IsDir() {
-			return nil, fmt.Errorf("%s:%d: file: %s is in no folder", path, line("file"), c.File)
+			return nil, file.Error(line("file"), "file", "%s is in no folder", c.File)
 		}
 	}
 	return c, nil
 }
 
-// keyLine finds the line of a dotted key in a TOML text of plain tables; 0 if there is none.
-func keyLine(text, key string) int {
-	table, last := "", key
-	if i := strings.LastIndexByte(key, '.'); i >= 0 {
-		table, last = key[:i], key[i+1:]
-	}
-	in := ""
-	for i, l := range strings.Split(text, "\n") {
-		l = strings.TrimSpace(l)
-		if strings.HasPrefix(l, "[") {
-			in = strings.Trim(l, "[] ")
-			if in == key {
-				return i + 1
-			}
-			continue
-		}
-		name, _, ok := strings.Cut(l, "=")
-		if name = strings.Trim(strings.TrimSpace(name), `"`); ok && (in == table && name == last || in == "" && name == key) {
-			return i + 1
-		}
-	}
-	return 0
-}
-
 // recording is the flight recorder of a Loop. rec and trigger belong to the loop.
 type recording struct {
 	cfg     *RecordingConfig
--- a/internal/route/fallback.go
+++ b/internal/route/fallback.go
@@ -1,11 +1,6 @@
 package route
 
-import (
-	"fmt"
-	"slices"
-	"strings"
-	"time"
-)
+import "time"
 
 // Time is an instant on the gateway's own clock.
 type Time = time.Duration
@@ -128,31 +123,6 @@
 // Unit makes a u for Choose of a key.
 func Unit(key string) float64 { return float64(hash(key)>>11) / (1 << 53) }
 
-// CheckFallbacks says which pools' fallbacks can't be: unknown ones, a pool as its own, or
-// twice the same. Fallbacks of fallbacks do not count, so that a circle does no harm.
-func CheckFallbacks(fallbacks map[string][]string) []error {
-	var wrong []error
-	names := make([]string, 0, len(fallbacks))
-	for name := range fallbacks {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, strings.Compare)
-	for _, name := range names {
-		list := fallbacks[name]
-		for i, f := range list {
-			switch _, ok := fallbacks[f]; {
-			case !ok:
-				wrong = append(wrong, fmt.Errorf("pool %q: fallback %q: there is no pool of that name", name, f))
-			case f == name:
-				wrong = append(wrong, fmt.Errorf("pool %q: it is its own fallback", name))
-			case slices.Contains(list[:i], f):
-				wrong = append(wrong, fmt.Errorf("pool %q: fallback %q is there twice", name, f))
-			}
-		}
-	}
-	return wrong
-}
-
 // Budget bounds the retries of a route: a share of its first tries and a floor beside. It
 // only ever takes retries away from what the decision module allows. It guards against
 // retries that feed what they are a sign of.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -478,14 +478,6 @@
 	}
 }
 
-func TestCheckFallbacks(t *testing.T) {
-	wrong := CheckFallbacks(map[string][]string{"a": {"b", "c", "b"}, "b": {"b"}, "d": {"a"}})
-	if got := fmt.Sprint(wrong); len(wrong) != 3 || !strings.Contains(got, `"c": there is no pool`) ||
-		!strings.Contains(got, `"b" is there twice`) || !strings.Contains(got, "its own fallback") {
-		t.Errorf("%v", wrong)
-	}
-}
-
 // A budget lets a share of the first tries through, and a floor beside.
 func TestBudget(t *testing.T) {
 	b := NewBudget(0.2, 1)
