--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/discovery"
 	"lynxspool/internal/gateway"
 )
 
@@ -61,8 +62,8 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	}
 	pool := gateway.NewPool(cfg)
-	discovery := gateway.NewDiscovery(cfg)
-	loop, err := gateway.NewLoop(cfg, pool, discovery.Watch)
+	watcher := discovery.NewWatcher(cfg.Discovery, cfg.Settings.Ask, cfg.Known.Version)
+	loop, err := gateway.NewLoop(cfg, pool, watcher.Watch)
 	if err != nil {
 		return err
 	}
@@ -80,7 +81,7 @@
 	go pool.Run(ctx)
 	go loop.Run(ctx)
 	loop.Members(lynxspool.ListSaved, cfg.Known)
-	go discovery.Run(ctx, loop)
+	go watcher.Run(ctx, loop)
 	server := gateway.NewServer(cfg, loop)
 	server.Listen(ln)
 	broken := make(chan error, 1)
@@ -91,7 +92,7 @@
 		case err := <-broken:
 			return fmt.Errorf("listen: %w", err)
 		case <-hup:
-			reload(discovery)
+			reload(watcher)
 		case <-usr1:
 			loop.Dump()
 		case s := <-stop:
@@ -109,12 +110,12 @@
 
 // reload takes over the address of discovery from the configuration as it is now. All
 // else there is used from the next start on. A file that is in error changes nothing.
-func reload(discovery *gateway.Discovery) {
+func reload(watcher *discovery.Watcher) {
 	cfg, err := gateway.Reload(os.Getenv)
 	if err != nil {
 		slog.Error("configuration not reloaded, the old one stays", "err", err)
 		return
 	}
-	discovery.Move(cfg.Discovery)
+	watcher.Move(cfg.Discovery)
 	slog.Info("configuration reloaded", "discovery", cfg.Discovery)
 }
--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -293,7 +293,7 @@
 }
 
 // discovery is a list of one host at a loopback address.
-func discovery(t *testing.T, id, addr string) (at string, watches *atomic.Int64) {
+func discoveryAt(t *testing.T, id, addr string) (at string, watches *atomic.Int64) {
 	watches = new(atomic.Int64)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.FormValue("index") != "0" {
@@ -351,7 +351,7 @@
 		t.Error("the list of before does not serve after a bad file")
 	}
 	for i := range 2 { // more than once, each time to another address
-		addr, watches := discovery(t, fmt.Sprint("s-", 7+i), newHost)
+		addr, watches := discoveryAt(t, fmt.Sprint("s-", 7+i), newHost)
 		hangUp(strings.Replace(text, `"discovery":"`+unusedAddr, `"discovery":"`+addr, 1))
 		until(t, "the new address is watched", func() bool { return watches.Load() > 0 })
 		before := newRequests.Load()
--- /dev/null
+++ b/internal/discovery/members.go
@@ -0,0 +1,37 @@
+package discovery
+
+import "lynxspool"
+
+// Sink is told of the hosts. Calls come one at a time.
+type Sink interface {
+	Members(kind lynxspool.ListKind, list MemberList)
+}
+
+// MemberList is the list of hosts, or changes of it, in discovery's form.
+type MemberList struct {
+	Version uint64
+	Full    bool
+	Servers []Member
+}
+
+// Member is one host of the list.
+type Member struct {
+	ID        string
+	Addr      string
+	Zone      string
+	Kind      string
+	Cell      int
+	State     string
+	StartedMS int64 `json:"started_ms"`
+}
+
+// HostState reads the state of a member; a host of which we cannot tell gets nothing new.
+func (m *Member) HostState() lynxspool.HostState {
+	switch m.State {
+	case "ready":
+		return lynxspool.Ready
+	case "gone":
+		return lynxspool.Removed
+	}
+	return lynxspool.Draining
+}
--- a/internal/gateway/discovery.go
+++ b/internal/discovery/watch.go
@@ -1,4 +1,6 @@
-package gateway
+// Package discovery tells a gateway of the hosts that there are: from a service that is
+// watched, or from a file.
+package discovery
 
 import (
 	"bufio"
@@ -18,7 +20,8 @@
 )
 
 const (
-	pathMembers = "/catalog/members"
+	// PathMembers is where the service has the list.
+	PathMembers = "/catalog/members"
 
 	// While nothing changes a line comes every 2 s: with three missing, the watch is
 	// taken for dead.
@@ -29,42 +32,13 @@
 	maxLine      = 16 << 20
 )
 
-// MemberList is the list of hosts, or changes of it, in discovery's form.
-type MemberList struct {
-	Version uint64
-	Full    bool
-	Servers []Member
-}
-
-// Member is one host of the list.
-type Member struct {
-	ID        string
-	Addr      string
-	Zone      string
-	Kind      string
-	Cell      int
-	State     string
-	StartedMS int64 `json:"started_ms"`
-}
-
-// state reads the state of a member; a host of which we cannot tell gets nothing new.
-func (m *Member) state() lynxspool.HostState {
-	switch m.State {
-	case "ready":
-		return lynxspool.Ready
-	case "gone":
-		return lynxspool.Removed
-	}
-	return lynxspool.Draining
-}
-
-// Discovery follows the list of hosts and tells the loop of it.
-type Discovery struct {
+// Watcher follows the list of a discovery service.
+type Watcher struct {
 	ask     bool // a watch begins only when the module asks for it
 	asked   chan struct{}
 	moved   chan struct{} // the address has changed
 	client  http.Client
-	silence time.Duration // after which a watch is taken for dead
+	Silence time.Duration // after which a watch is taken for dead; set before Run
 
 	mu      sync.Mutex
 	addr    string
@@ -78,12 +52,14 @@
 	errMoved  = errors.New("discovery has moved")
 )
 
-// NewDiscovery returns a Discovery that starts from the known list.
-func NewDiscovery(cfg *Config) *Discovery {
-	return &Discovery{
-		addr: cfg.Discovery, ask: cfg.Settings.Ask, version: cfg.Known.Version,
+// NewWatcher returns a Watcher of the service at addr that starts from the version known.
+// With ask set a watch begins only when Watch is called, and each that ends is told as
+// failed.
+func NewWatcher(addr string, ask bool, known uint64) *Watcher {
+	return &Watcher{
+		addr: addr, ask: ask, version: known,
 		asked: make(chan struct{}, 1), moved: make(chan struct{}, 1),
-		silence: watchSilence,
+		Silence: watchSilence,
 		client: http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: watchDial}).DialContext, DisableKeepAlives: true,
 		}},
@@ -91,7 +67,7 @@
 }
 
 // Watch asks for changes from now on, where they do not come by themselves.
-func (d *Discovery) Watch() {
+func (d *Watcher) Watch() {
 	select {
 	case d.asked <- struct{}{}:
 	default: // asked already
@@ -100,7 +76,7 @@
 
 // Move makes another address the source of the list, at once. What was told stays
 // in use until the new one has said otherwise; versions there count anew.
-func (d *Discovery) Move(addr string) {
+func (d *Watcher) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if addr == d.addr {
@@ -119,7 +95,7 @@
 
 // told takes note of a version, unless the watch that brought it has been left: it
 // guards against a last line of the old address coming after a move.
-func (d *Discovery) told(moves int, version uint64) bool {
+func (d *Watcher) told(moves int, version uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.moves != moves {
@@ -131,7 +107,7 @@
 
 // Run watches the list until ctx ends. A watch that breaks is begun anew, soon at
 // first; where the module has to ask, it is told instead and decides when.
-func (d *Discovery) Run(ctx context.Context, loop *Loop) {
+func (d *Watcher) Run(ctx context.Context, to Sink) {
 	backoff, lost := watchBackoff, false
 	for ctx.Err() == nil {
 		if d.ask {
@@ -142,7 +118,7 @@
 			case <-d.moved:
 			}
 		}
-		heard, err := d.watch(ctx, loop)
+		heard, err := d.watch(ctx, to)
 		if ctx.Err() != nil {
 			return
 		}
@@ -158,7 +134,7 @@
 			lost = true
 		}
 		if d.ask {
-			loop.Members(lynxspool.ListFailed, MemberList{})
+			to.Members(lynxspool.ListFailed, MemberList{})
 			continue
 		}
 		select {
@@ -173,21 +149,21 @@
 }
 
 // watch holds one watch until it ends and says whether it brought anything.
-func (d *Discovery) watch(ctx context.Context, loop *Loop) (heard bool, err error) {
+func (d *Watcher) watch(ctx context.Context, to Sink) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	d.mu.Lock()
 	addr, version, moves := d.addr, d.version, d.moves
 	d.leave = cancel
 	d.mu.Unlock()
-	silence := time.AfterFunc(d.silence, func() { cancel(errSilent) })
+	silence := time.AfterFunc(d.Silence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	defer func() {
 		if cause := context.Cause(ctx); cause == errSilent || cause == errMoved {
 			err = cause
 		}
 	}()
-	url := "http://" + addr + pathMembers + "?stream=1&index=" + strconv.FormatUint(version, 10)
+	url := "http://" + addr + PathMembers + "?stream=1&index=" + strconv.FormatUint(version, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
@@ -203,7 +179,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
-		silence.Reset(d.silence)
+		silence.Reset(d.Silence)
 		heard = true
 		if len(lines.Bytes()) == 0 {
 			continue
@@ -221,7 +197,7 @@
 		if !d.told(moves, list.Version) {
 			return heard, errMoved
 		}
-		loop.Members(kind, list)
+		to.Members(kind, list)
 	}
 	if err := lines.Err(); err != nil {
 		return heard, err
--- a/internal/gateway/churn_test.go
+++ b/internal/gateway/churn_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"lynxspool"
+	"lynxspool/internal/discovery"
 )
 
 // Hosts are replaced all day, each by a new id at the same address, in zones and of
@@ -32,8 +33,8 @@
 	defer server.Close()
 	g := startGateway(t, testConfig())
 	c := g.dial()
-	member := func(i int, state string) Member {
-		return Member{
+	member := func(i int, state string) discovery.Member {
+		return discovery.Member{
 			ID: fmt.Sprint("s-", i), Addr: strings.TrimPrefix(server.URL, "http://"), State: state,
 			Zone: fmt.Sprint("zone-", i), Kind: fmt.Sprint("kind-", i),
 		}
@@ -41,12 +42,12 @@
 	replaced := 0
 	replace := func(times int) {
 		for range times {
-			list := []Member{member(replaced+1, "ready")}
+			list := []discovery.Member{member(replaced+1, "ready")}
 			if replaced > 0 {
 				list = append(list, member(replaced, "gone"))
 			}
 			replaced++
-			g.loop.Members(lynxspool.ListChanges, MemberList{Servers: list})
+			g.loop.Members(lynxspool.ListChanges, discovery.MemberList{Servers: list})
 			if err := asked(c); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/discovery"
 	"lynxspool/internal/wire"
 )
 
@@ -27,7 +28,7 @@
 	MemoryMB int
 	Sockets  int // file descriptors that the process may hold
 
-	Known    MemberList // the hosts as this gateway last had them
+	Known    discovery.MemberList // the hosts as this gateway last had them
 	Settings lynxspool.Settings
 
 	// Names as they stand in requests and lists; the module knows their index.
@@ -62,7 +63,7 @@
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int
 	}
-	Known    MemberList
+	Known    discovery.MemberList
 	Settings json.RawMessage
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/discovery"
 )
 
 // testGateway is a gateway in this process, on loopback.
@@ -45,7 +46,7 @@
 		},
 	}
 	for i, h := range hosts {
-		cfg.Known.Servers = append(cfg.Known.Servers, Member{ID: fmt.Sprint("s-", i), Addr: h.addr(), State: "ready"})
+		cfg.Known.Servers = append(cfg.Known.Servers, discovery.Member{ID: fmt.Sprint("s-", i), Addr: h.addr(), State: "ready"})
 	}
 	return cfg
 }
@@ -292,12 +293,12 @@
 	if status := get(); status != 503 {
 		t.Errorf("with no hosts: status %d", status)
 	}
-	g.loop.Members(lynxspool.ListChanges, MemberList{Servers: []Member{{ID: "s-1", Addr: "127.0.0.1:1", State: "ready"}}})
+	g.loop.Members(lynxspool.ListChanges, discovery.MemberList{Servers: []discovery.Member{{ID: "s-1", Addr: "127.0.0.1:1", State: "ready"}}})
 	until(t, "health is good with a host", func() bool { return get() == 200 })
-	g.loop.Members(lynxspool.ListChanges, MemberList{Servers: []Member{{ID: "s-1", Addr: "127.0.0.1:1", State: "draining"}}})
+	g.loop.Members(lynxspool.ListChanges, discovery.MemberList{Servers: []discovery.Member{{ID: "s-1", Addr: "127.0.0.1:1", State: "draining"}}})
 	until(t, "health is bad with the last host draining", func() bool { return get() == 503 })
 	g.server.stopping.Store(true)
-	g.loop.Members(lynxspool.ListChanges, MemberList{Servers: []Member{{ID: "s-1", Addr: "127.0.0.1:1", State: "ready"}}})
+	g.loop.Members(lynxspool.ListChanges, discovery.MemberList{Servers: []discovery.Member{{ID: "s-1", Addr: "127.0.0.1:1", State: "ready"}}})
 	if status := get(); status != 503 {
 		t.Errorf("while stopping: status %d", status)
 	}
@@ -308,11 +309,11 @@
 func TestListIsFollowed(t *testing.T) {
 	first, second := newHost(t, says(good)), newHost(t, says(good))
 	g := startGateway(t, testConfig(first, second))
-	member := func(id string, h *testHost, state string) Member {
-		return Member{ID: id, Addr: h.addr(), State: state}
+	member := func(id string, h *testHost, state string) discovery.Member {
+		return discovery.Member{ID: id, Addr: h.addr(), State: state}
 	}
-	asks := func(what string, kind lynxspool.ListKind, want *testHost, list ...Member) {
-		g.loop.Members(kind, MemberList{Servers: list})
+	asks := func(what string, kind lynxspool.ListKind, want *testHost, list ...discovery.Member) {
+		g.loop.Members(kind, discovery.MemberList{Servers: list})
 		a, _, _ := first.counts()
 		b, _, _ := second.counts()
 		for range 8 {
@@ -413,11 +414,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
-		NewDiscovery(cfg).Run(ctx, g.loop)
+		discovery.NewWatcher(cfg.Discovery, cfg.Settings.Ask, cfg.Known.Version).Run(ctx, g.loop)
 		close(done)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	tell := func(version int, full bool, m ...Member) {
+	tell := func(version int, full bool, m ...discovery.Member) {
 		var list []string
 		for _, m := range m {
 			list = append(list, fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"a","kind":"m2","cell":3,"state":%q,"weight":1.0,"started_ms":0}`,
@@ -433,17 +434,17 @@
 			return n > before
 		})
 	}
-	tell(42, false, Member{ID: "s-1", Addr: second.addr(), State: "ready"})
+	tell(42, false, discovery.Member{ID: "s-1", Addr: second.addr(), State: "ready"})
 	reaches("a host among the changes is used", second)
 	disco.lines <- ""
-	tell(43, false, Member{ID: "s-1", Addr: second.addr(), State: "gone"})
+	tell(43, false, discovery.Member{ID: "s-1", Addr: second.addr(), State: "gone"})
 	reaches("the host that stays is used", first)
 	disco.lines <- garbled
-	tell(44, true, Member{ID: "s-1", Addr: second.addr(), State: "ready"})
+	tell(44, true, discovery.Member{ID: "s-1", Addr: second.addr(), State: "ready"})
 	reaches("the host of the whole list is used", second)
 	disco.mu.Lock()
 	defer disco.mu.Unlock()
-	if got, want := strings.Join(disco.index, ", "), pathMembers+" 1 41, "+pathMembers+" 1 42, "+pathMembers+" 1 0"; got != want {
+	if got, want := strings.Join(disco.index, ", "), discovery.PathMembers+" 1 41, "+discovery.PathMembers+" 1 42, "+discovery.PathMembers+" 1 0"; got != want {
 		t.Errorf("watches of %s, want %s", got, want)
 	}
 }
@@ -455,8 +456,8 @@
 	disco := newWatchServer(t)
 	cfg.Discovery = strings.TrimPrefix(disco.URL, "http://")
 	g := startGateway(t, cfg)
-	d := NewDiscovery(cfg)
-	d.silence = 50 * time.Millisecond
+	d := discovery.NewWatcher(cfg.Discovery, cfg.Settings.Ask, cfg.Known.Version)
+	d.Silence = 50 * time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go d.Run(ctx, g.loop)
@@ -474,7 +475,7 @@
 	disco := newWatchServer(t)
 	cfg.Discovery = strings.TrimPrefix(disco.URL, "http://")
 	g := startGateway(t, cfg)
-	d := NewDiscovery(cfg)
+	d := discovery.NewWatcher(cfg.Discovery, cfg.Settings.Ask, cfg.Known.Version)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go d.Run(ctx, g.loop)
@@ -490,10 +491,10 @@
 }
 
 func TestMemberStates(t *testing.T) {
-	var list MemberList
+	var list discovery.MemberList
 	err := json.Unmarshal([]byte(`{"version":41,"full":true,"servers":[{"id":"s-5be2a07c","addr":"10.1.0.18:9000",
 		"zone":"a","kind":"m2","cell":3,"state":"ready","weight":1.0,"started_ms":7}]}`), &list)
-	want := Member{ID: "s-5be2a07c", Addr: "10.1.0.18:9000", Zone: "a", Kind: "m2", Cell: 3, State: "ready", StartedMS: 7}
+	want := discovery.Member{ID: "s-5be2a07c", Addr: "10.1.0.18:9000", Zone: "a", Kind: "m2", Cell: 3, State: "ready", StartedMS: 7}
 	if err != nil || list.Version != 41 || !list.Full || len(list.Servers) != 1 || list.Servers[0] != want {
 		t.Errorf("%+v, %v", list, err)
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/discovery"
 	"lynxspool/internal/flight"
 )
 
@@ -136,11 +137,11 @@
 }
 
 // Members is news of the list of hosts.
-func (l *Loop) Members(kind lynxspool.ListKind, list MemberList) {
+func (l *Loop) Members(kind lynxspool.ListKind, list discovery.MemberList) {
 	l.post(func(now lynxspool.Time) { l.members(now, kind, list) })
 }
 
-func (l *Loop) members(now lynxspool.Time, kind lynxspool.ListKind, list MemberList) {
+func (l *Loop) members(now lynxspool.Time, kind lynxspool.ListKind, list discovery.MemberList) {
 	if kind != lynxspool.ListFailed {
 		listed := map[lynxspool.HostID]bool{}
 		entries := make([]lynxspool.Host, 0, len(list.Servers))
@@ -149,7 +150,7 @@
 			m := &list.Servers[i]
 			e := lynxspool.Host{
 				ID: hostID(m.ID), Zone: l.zones.number(m.Zone), Cell: m.Cell, Kind: l.kinds.number(m.Kind),
-				State: m.state(), Started: lynxspool.Time(m.StartedMS) * lynxspool.Time(time.Millisecond),
+				State: m.HostState(), Started: lynxspool.Time(m.StartedMS) * lynxspool.Time(time.Millisecond),
 			}
 			h := l.hosts[e.ID]
 			if h == nil && e.State == lynxspool.Removed {
--- a/internal/gateway/recording_test.go
+++ b/internal/gateway/recording_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/discovery"
 	"lynxspool/internal/flight"
 )
 
@@ -117,7 +118,7 @@
 
 	// The host goes: what comes is refused, and the trigger writes the ring once.
 	h.Close()
-	g.loop.Members(lynxspool.ListFull, MemberList{}) // no host is listed any more
+	g.loop.Members(lynxspool.ListFull, discovery.MemberList{}) // no host is listed any more
 	for range 50 {
 		g.ask("look", "/", "")
 	}
