--- a/api.go
+++ b/api.go
@@ -19,7 +19,8 @@
 // runs one Balancer in one event loop, or one Balancer a thread with Instances
 // raised accordingly.
 //
-// This file is the whole interface; every decision is in balancer.go.
+// This file is the interface of a gateway; every decision is in balancer.go. For those who
+// look on there are [Balancer.Views], and [Balancer.Checkpoint] with [Restore].
 package lynxspool
 
 import (
--- a/balancer.go
+++ b/balancer.go
@@ -2,12 +2,12 @@
 
 // Every decision of the balancer. The types it speaks in are in api.go.
 //
-// Reading order: the constants; New (what a Balancer keeps is in state.go); the
-// ring that hosts are drawn from; one method per event, from Start to Timer; then
-// what they call: place, pick and redraw (the ordinary path), load to sample (the
-// score), allows to paceCold (who is ready), observe, adjust and press (what is
-// learnt), settle to end (what follows an attempt), enqueue to serve (waiting),
-// listen (silence), and last discovery.
+// Reading order: the constants; New (what a Balancer keeps is in state.go, the sets
+// that hosts stand in are in sets.go); one method per event, from Start to Timer; then
+// what they call: place, pick and redraw (the ordinary path), belongs (who is ready),
+// load to sample (the score), repeatable to paceCold (what else says who is ready),
+// observe, adjust and press (what is learnt), settle to end (what follows an attempt),
+// enqueue to serve (waiting), listen (silence), and last discovery.
 //
 // The ordinary path is failure-aware peak EWMA with two choices: of two random
 // ready hosts the one with the lower estimate x (own pending + 1) gets the
@@ -182,27 +182,6 @@
 	b.pump()
 }
 
-// layRing puts the hosts into an order that is the same at every instance and has
-// the kinds of machine spread evenly, so that every stretch is a fair part of the
-// fleet. Few places change when hosts come and go.
-func (b *Balancer) layRing() {
-	clear(b.ring) // what falls off its end must not be kept
-	b.ring, b.laid = b.ring[:0], true
-	next := make([]int, len(b.byKind)) // of each kind, in the order of their marks
-	for range b.hosts {
-		first, least := 0, math.Inf(1)
-		for i := range b.byKind {
-			if l := b.byKind[i].hosts; next[i] < len(l) {
-				if place := (float64(next[i]) + 0.5) / float64(len(l)); place < least {
-					first, least = i, place
-				}
-			}
-		}
-		b.ring = append(b.ring, b.byKind[first].hosts[next[first]])
-		next[first]++
-	}
-}
-
 // reach is how many hosts this instance draws from: as many as its own traffic
 // brings reachSamples each within the decay, no fewer than a choice of two needs
 // with one out, nor than give each host reachSharers instances. It acts where that is
@@ -450,26 +429,6 @@
 	return b.choose(r)
 }
 
-// nth is the i-th host of the sets from set on.
-func (b *Balancer) nth(set, i int) *host {
-	for i >= len(b.sets[set].list) {
-		i -= len(b.sets[set].list)
-		set++
-	}
-	return b.sets[set].list[i]
-}
-
-// stale says whether a host does not stand any more where it stood, for the time that
-// has passed, and puts it where it belongs.
-func (b *Balancer) stale(h *host) bool {
-	if h.pending == 0 {
-		return false
-	}
-	was := h.stands
-	b.recheck(h)
-	return h.stands != was
-}
-
 // choose is the less loaded of two random hosts of b.ready.
 func (b *Balancer) choose(r *request) *host {
 	n := len(b.ready)
@@ -568,51 +527,6 @@
 	return setOut
 }
 
-// recheck puts a host where it belongs and counts it as what it is. It is called
-// behind every event that touches the host, and at the time that it sets here.
-func (b *Balancer) recheck(h *host) {
-	look := forever
-	until := func(t Time) {
-		if t > b.now {
-			look = min(look, t)
-		}
-	}
-	set, now := setNone, standing{}
-	if now.listed = h.drawn() && h.State == Ready; now.listed {
-		set = b.belongs(h)
-		now.used, now.out = b.inUse(h), b.ejected(h)
-		now.broken = now.out && h.why == CauseConnections
-	}
-	if h.fails > 0 {
-		until(h.ejectUntil)
-	}
-	if h.cold {
-		until(h.coldNext)
-		until(h.coldAt + b.set.WarmAfter)
-	}
-	until(h.restUntil)
-	if n, held := h.oldest(); held == 1 {
-		until(n.sent + b.patience(n.req)) // it may be doubtful from then on
-	}
-	b.stand(h, set)
-	for i := 0; h.failed && i < len(h.class); i++ {
-		f := &h.class[i]
-		if f.shuns {
-			b.shuns[i].add(h.counted, -1)
-		}
-		if f.shuns = b.now < f.until; f.shuns {
-			b.shuns[i].add(now, 1)
-			until(f.until)
-		}
-	}
-	if now != h.counted {
-		b.tally.add(h.counted, -1)
-		b.tally.add(now, 1)
-		h.counted = now
-	}
-	b.lookAt(h, look)
-}
-
 // redraw keeps the hosts that this instance draws from: reach of them in use, and the
 // cold and ejected beside them. A host stays drawn while it serves, as its samples are
 // here; one at a time is given up for one nearer, so that new hosts are not rushed.
@@ -848,21 +762,6 @@
 	return held == 1 && b.now >= h.restUntil && b.now-n.sent >= b.patience(n.req)
 }
 
-// oldest is the attempt out longest at a host that was not passed by, and how many such
-// there are.
-func (h *host) oldest() (a *attempt, held int) {
-	for n := h.flight.head; n != nil; n = n.next {
-		if n.item.passedBy() {
-			continue
-		}
-		if a == nil {
-			a = n.item
-		}
-		held++
-	}
-	return a, held
-}
-
 // passedBy says whether the host has answered attempts sent after this one, and so is
 // neither silent nor slow: the fault is with the connection or the request itself.
 func (a *attempt) passedBy() bool { return a.later >= passedAfter }
--- a/sets.go
+++ b/sets.go
@@ -203,3 +203,104 @@
 	}
 	return b.groups[groupKey{group, h.Cell}]
 }
+
+// recheck puts a host where it belongs and counts it as what it is. It is called
+// behind every event that touches the host, and at the time that it sets here.
+func (b *Balancer) recheck(h *host) {
+	look := forever
+	until := func(t Time) {
+		if t > b.now {
+			look = min(look, t)
+		}
+	}
+	set, now := setNone, standing{}
+	if now.listed = h.drawn() && h.State == Ready; now.listed {
+		set = b.belongs(h)
+		now.used, now.out = b.inUse(h), b.ejected(h)
+		now.broken = now.out && h.why == CauseConnections
+	}
+	if h.fails > 0 {
+		until(h.ejectUntil)
+	}
+	if h.cold {
+		until(h.coldNext)
+		until(h.coldAt + b.set.WarmAfter)
+	}
+	until(h.restUntil)
+	if n, held := h.oldest(); held == 1 {
+		until(n.sent + b.patience(n.req)) // it may be doubtful from then on
+	}
+	b.stand(h, set)
+	for i := 0; h.failed && i < len(h.class); i++ {
+		f := &h.class[i]
+		if f.shuns {
+			b.shuns[i].add(h.counted, -1)
+		}
+		if f.shuns = b.now < f.until; f.shuns {
+			b.shuns[i].add(now, 1)
+			until(f.until)
+		}
+	}
+	if now != h.counted {
+		b.tally.add(h.counted, -1)
+		b.tally.add(now, 1)
+		h.counted = now
+	}
+	b.lookAt(h, look)
+}
+
+// layRing puts the hosts into an order that is the same at every instance and has
+// the kinds of machine spread evenly, so that every stretch is a fair part of the
+// fleet. Few places change when hosts come and go.
+func (b *Balancer) layRing() {
+	clear(b.ring) // what falls off its end must not be kept
+	b.ring, b.laid = b.ring[:0], true
+	next := make([]int, len(b.byKind)) // of each kind, in the order of their marks
+	for range b.hosts {
+		first, least := 0, math.Inf(1)
+		for i := range b.byKind {
+			if l := b.byKind[i].hosts; next[i] < len(l) {
+				if place := (float64(next[i]) + 0.5) / float64(len(l)); place < least {
+					first, least = i, place
+				}
+			}
+		}
+		b.ring = append(b.ring, b.byKind[first].hosts[next[first]])
+		next[first]++
+	}
+}
+
+// nth is the i-th host of the sets from set on.
+func (b *Balancer) nth(set, i int) *host {
+	for i >= len(b.sets[set].list) {
+		i -= len(b.sets[set].list)
+		set++
+	}
+	return b.sets[set].list[i]
+}
+
+// oldest is the attempt out longest at a host that was not passed by, and how many such
+// there are.
+func (h *host) oldest() (a *attempt, held int) {
+	for n := h.flight.head; n != nil; n = n.next {
+		if n.item.passedBy() {
+			continue
+		}
+		if a == nil {
+			a = n.item
+		}
+		held++
+	}
+	return a, held
+}
+
+// stale says whether a host does not stand any more where it stood, for the time that
+// has passed, and puts it where it belongs.
+func (b *Balancer) stale(h *host) bool {
+	if h.pending == 0 {
+		return false
+	}
+	was := h.stands
+	b.recheck(h)
+	return h.stands != was
+}
