--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1736,3 +1736,25 @@
 		}
 	}
 }
+
+// An attempt that was passed by does not count against its host's limit while most such
+// stay silent: it guards against a limit of one being used up by a connection that has gone
+// silent. While most are answered yet, it counts, as the host is at work on it.
+func TestPassedByAttemptAndTheLimit(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	h.limit = 8
+	g.request(0, time.Second)
+	g.advance(ms)
+	for range passedAfter {
+		g.outcome(g.request(0, time.Second), 0, OK, ms)
+		g.advance(ms)
+	}
+	h.limit = 1
+	for _, mute := range []float64{0, 1} {
+		g.b.mute = mute
+		if at, want := g.b.atLimit(h), mute == 0; at != want {
+			t.Errorf("with a share of %v that stay silent: at its limit %v, want %v", mute, at, want)
+		}
+	}
+}
