--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -71,13 +71,14 @@
 	Class      string // "": the class header says
 	Timeout    time.Duration
 	Repeatable []string // methods that may be sent again though they are not safe
+	Failures   []int    // statuses of hosts that tell of a failure
 	RetryShare float64
 	RetryFloor float64
 }
 
 // Defaults and bounds of the file.
 const (
-	defaultMemoryMB   = 64
+	DefaultMemoryMB   = 64
 	defaultSockets    = 1024
 	leastSockets      = 64
 	defaultTimeout    = 10 * time.Second
@@ -133,6 +134,7 @@
 		Class      string
 		Timeout    Span
 		Repeatable []string
+		Failures   []int
 		RetryShare *float64 `toml:"retry_share"`
 		RetryFloor *float64 `toml:"retry_floor"`
 	}
@@ -189,7 +191,7 @@
 		c.bad("", 0, "name", "is missing: what this gateway is called")
 	}
 	if a.Limits.MemoryMB == 0 {
-		a.Limits.MemoryMB = defaultMemoryMB
+		a.Limits.MemoryMB = DefaultMemoryMB
 	}
 	if a.Limits.Sockets == 0 {
 		a.Limits.Sockets = defaultSockets
@@ -365,6 +367,14 @@
 			Class: x.Class, Timeout: time.Duration(x.Timeout), Repeatable: x.Repeatable,
 			RetryShare: defaultRetryShare, RetryFloor: defaultRetryFloor,
 		}
+		if r.Failures = x.Failures; x.Failures == nil {
+			r.Failures = route.DefaultFailures
+		}
+		for _, status := range x.Failures {
+			if status < 400 || status > 599 {
+				c.bad("route", i, "failures", "%d is not from 400 to 599", status)
+			}
+		}
 		if r.Timeout == 0 {
 			r.Timeout = defaultTimeout
 		}
--- a/internal/gateway/config.go
+++ b/internal/config/platform.go
@@ -1,6 +1,4 @@
-// Package gateway is the real gateway round package lynxspool: it speaks HTTP
-// with clients, hosts and discovery, and leaves every decision to the Balancer.
-package gateway
+package config
 
 import (
 	"cmp"
@@ -17,8 +15,8 @@
 	"lynxspool/internal/wire"
 )
 
-// Config is what a gateway is told at its start.
-type Config struct {
+// Platform is what a gateway is told at its start by the platform that runs it.
+type Platform struct {
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // where the list of hosts comes from
@@ -45,15 +43,13 @@
 const (
 	defaultConnIdle    = time.Minute
 	defaultDialTimeout = 250 * time.Millisecond
-	defaultSockets     = 1024
-	defaultMemory      = 64 // MB
 )
 
-// memory is how many bytes the process may fill.
-func (c *Config) memory() int64 { return int64(cmp.Or(c.MemoryMB, defaultMemory)) << 20 }
+// Memory is how many bytes the process may fill.
+func (c *Platform) Memory() int64 { return int64(cmp.Or(c.MemoryMB, DefaultMemoryMB)) << 20 }
 
-// file is the form of GW_CONFIG.
-type file struct {
+// platformFile is the form of GW_CONFIG.
+type platformFile struct {
 	Name      string
 	Listen    string
 	Discovery string
@@ -81,10 +77,10 @@
 
 type named struct{ Name string }
 
-// Load reads the configuration from the file that GW_CONFIG names; the other
+// LoadPlatform reads the configuration from the file that GW_CONFIG names; the other
 // GW_ variables go before what the file says. An error is one plain line that
 // names the field at fault.
-func Load(getenv func(string) string) (*Config, error) {
+func LoadPlatform(getenv func(string) string) (*Platform, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return nil, errors.New("GW_CONFIG: not set")
@@ -93,7 +89,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	var f file
+	var f platformFile
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
@@ -108,10 +104,10 @@
 	return f.config()
 }
 
-// Reload reads the file anew. Here its discovery goes before GW_DISCOVERY, which
+// ReloadPlatform reads the file anew. Here its discovery goes before GW_DISCOVERY, which
 // the process was started with and cannot have changed since.
-func Reload(getenv func(string) string) (*Config, error) {
-	return Load(func(name string) string {
+func ReloadPlatform(getenv func(string) string) (*Platform, error) {
+	return LoadPlatform(func(name string) string {
 		if name == "GW_DISCOVERY" {
 			return ""
 		}
@@ -119,8 +115,8 @@
 	})
 }
 
-func (f *file) config() (*Config, error) {
-	c := &Config{
+func (f *platformFile) config() (*Platform, error) {
+	c := &Platform{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known,
 	}
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// ReadFile reads the list of hosts in a file.
+func ReadFile(path string) (MemberList, error) {
+	text, err := readMost(path, fileMost)
+	if err != nil {
+		return MemberList{}, err
+	}
+	return ParseFile(path, text)
+}
+
 func readMost(path string, most int64) ([]byte, error) {
 	in, err := os.Open(path)
 	if err != nil {
--- /dev/null
+++ b/internal/discovery/watch_test.go
@@ -0,0 +1,134 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/testkit"
+)
+
+// garbled is a line that cannot be read.
+const garbled = "no list"
+
+// watchServer is discovery on a loopback socket: what is sent on lines goes to the
+// watch that is on; an empty string ends it.
+type watchServer struct {
+	*httptest.Server
+	lines chan string
+	mu    sync.Mutex
+	index []string // as asked for
+}
+
+func newWatchServer(t *testing.T) *watchServer {
+	s := &watchServer{lines: make(chan string)}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.index = append(s.index, r.URL.Path+" "+r.FormValue("stream")+" "+r.FormValue("index"))
+		s.mu.Unlock()
+		w.(http.Flusher).Flush()
+		for {
+			select {
+			case line := <-s.lines:
+				if line == "" {
+					return
+				}
+				fmt.Fprintln(w, line)
+				w.(http.Flusher).Flush()
+				if line == garbled {
+					return
+				}
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	return s
+}
+
+func (s *watchServer) addr() string { return strings.TrimPrefix(s.URL, "http://") }
+
+func (s *watchServer) asked() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.index...)
+}
+
+// news is a Sink that keeps what it is told.
+type news chan string
+
+func (c news) Members(kind lynxspool.ListKind, list MemberList) {
+	var ids []string
+	for _, m := range list.Servers {
+		ids = append(ids, m.ID+" "+m.State)
+	}
+	c <- fmt.Sprint(kind, " ", strings.Join(ids, ", "))
+}
+
+func watch(t *testing.T, d *Watcher) news {
+	ctx, cancel := context.WithCancel(context.Background())
+	sink, done := make(news, 16), make(chan struct{})
+	go func() {
+		d.Run(ctx, sink)
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return sink
+}
+
+// A watch that ends is begun anew from the version told last; a line that cannot be
+// read has lost something, so that the whole list is asked for.
+func TestWatchLost(t *testing.T) {
+	disco := newWatchServer(t)
+	sink := watch(t, NewWatcher(disco.addr(), false, 41))
+	says := func(version int, full bool, id, state string, want lynxspool.ListKind) {
+		t.Helper()
+		disco.lines <- fmt.Sprintf(`{"version":%d,"full":%t,"servers":[{"id":%q,"addr":"127.0.0.1:9","zone":"a","kind":"m2","cell":3,"state":%q,"weight":1.0,"started_ms":0}]}`,
+			version, full, id, state)
+		if got, want := <-sink, fmt.Sprint(want, " ", id, " ", state); got != want {
+			t.Errorf("told %q, want %q", got, want)
+		}
+	}
+	says(42, false, "s-1", "ready", lynxspool.ListChanges)
+	disco.lines <- ""
+	says(43, false, "s-1", "gone", lynxspool.ListChanges)
+	disco.lines <- garbled
+	says(44, true, "s-1", "ready", lynxspool.ListFull)
+	if got, want := strings.Join(disco.asked(), ", "), PathMembers+" 1 41, "+PathMembers+" 1 42, "+PathMembers+" 1 0"; got != want {
+		t.Errorf("watches of %s, want %s", got, want)
+	}
+}
+
+// A watch on which nothing comes, not even an empty line, is begun anew: discovery
+// may have gone without a word.
+func TestSilentWatch(t *testing.T) {
+	disco := newWatchServer(t)
+	d := NewWatcher(disco.addr(), false, 0)
+	d.Silence = 50 * time.Millisecond
+	watch(t, d)
+	testkit.Until(t, "a second watch", func() bool { return len(disco.asked()) > 1 })
+}
+
+// Where the list must be asked for, the module decides when, and hears of failures.
+func TestWatchOnlyWhenAsked(t *testing.T) {
+	disco := newWatchServer(t)
+	d := NewWatcher(disco.addr(), true, 0)
+	sink := watch(t, d)
+	for n := 1; n <= 2; n++ {
+		d.Watch()
+		disco.lines <- ""
+		if got, want := <-sink, fmt.Sprint(lynxspool.ListFailed, " "); got != want {
+			t.Errorf("told %q, want %q", got, want)
+		}
+		if got := len(disco.asked()); got != n {
+			t.Errorf("%d watches after asking %d times", got, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,182 @@
+// Package engine is the middle of the gateway: it is the sole owner of the decision modules,
+// one a pool, and knows requests, attempts and final answers, but no protocol. Fronts hand
+// it requests; transports make the attempts.
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/route"
+)
+
+// eventsWaiting is how many events may wait for the loop before those who bring one wait
+// too: a moment's worth of them at a few thousand requests a second.
+const eventsWaiting = 1024
+
+// Engine runs the loop: it is told what happens by the other parts, one event at a time,
+// and carries out what the modules decide. Nothing in it waits: what takes time runs in a
+// goroutine of its own and comes back as an event.
+type Engine struct {
+	events chan func(now lynxspool.Time)
+	done   chan struct{} // closed when Run has returned
+	plan   atomic.Pointer[Plan]
+	clock  clock
+
+	// All below belongs to the goroutine of Run.
+	ctx    context.Context // of all attempts
+	timers timers
+	pools  map[*Pool]struct{}
+	left   []*Plan // not in use any more, but some request may still be on them
+	open   map[lynxspool.RequestID]*Request
+	lastID lynxspool.RequestID
+	rng    *rand.Rand
+}
+
+// New returns an Engine. The seed is for what chance decides between pools.
+func New(seed uint64) *Engine {
+	return &Engine{
+		events: make(chan func(lynxspool.Time), eventsWaiting), done: make(chan struct{}),
+		clock: clock{time.Now()}, pools: map[*Pool]struct{}{},
+		open: map[lynxspool.RequestID]*Request{}, rng: rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// Run handles events until ctx ends; then it ends all attempts.
+func (e *Engine) Run(ctx context.Context) {
+	defer close(e.done)
+	e.ctx = ctx
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for p := range e.pools {
+				p.end(true)
+			}
+			return
+		case handle := <-e.events:
+			handle(e.clock.now())
+		case <-timer.C:
+			e.ring()
+		}
+		if len(e.timers) > 0 {
+			timer.Reset(time.Until(e.clock.time(e.timers[0].at)))
+		}
+	}
+}
+
+// Wait waits until Run has returned and what was recorded is written, for so long at most.
+func (e *Engine) Wait(most time.Duration) {
+	select {
+	case <-e.done:
+	case <-time.After(most):
+	}
+}
+
+// post hands an event to the loop, and says whether the loop still runs.
+func (e *Engine) post(handle func(now lynxspool.Time)) bool {
+	select {
+	case e.events <- handle:
+		return true
+	case <-e.done:
+		return false
+	}
+}
+
+// Do hands over a request that is whole, and waits for its answer. there is false if ctx
+// has ended before: nobody waits, and nothing more goes out for it. The caller releases
+// the answer.
+func (e *Engine) Do(ctx context.Context, x *Request) (a Answer, there bool) {
+	x.answer = make(chan Answer, 1)
+	e.post(func(now lynxspool.Time) { e.submit(now, x) })
+	late := time.NewTimer(time.Until(x.Deadline))
+	defer late.Stop()
+	select {
+	case a = <-x.answer:
+		return a, true
+	case <-ctx.Done():
+		if x.Close() {
+			e.abandon(x)
+		} else {
+			a = <-x.answer
+			a.Release()
+		}
+		return Answer{}, false
+	case <-late.C:
+		// The module should have answered; the client is not kept waiting for it.
+		if x.Close() {
+			e.abandon(x)
+			return Answer{Kind: Failed}, true
+		}
+		return <-x.answer, true
+	}
+}
+
+// abandon says that a request was finished without the module.
+func (e *Engine) abandon(x *Request) {
+	e.post(func(now lynxspool.Time) {
+		p := x.pool
+		p.bal.Gone(now, x.id)
+		e.release(x)
+		p.perform(now)
+	})
+}
+
+// submit takes a request in: the split of its route names the pool, or the pools that stand
+// in for it take a part.
+func (e *Engine) submit(now lynxspool.Time, x *Request) {
+	r := x.Route
+	x.chain, x.proved = r.chains[0], true
+	if len(r.chains) > 1 {
+		x.chain = r.chains[r.rule.Pool(x.Key, e.rng.Uint64())]
+	}
+	if r.budget != nil {
+		r.budget.Try(now)
+	}
+	if c := x.chain; len(c.pools) > 1 {
+		x.level, x.trial = c.state.Trial(now, r.safe(x.Class))
+		if !x.trial {
+			u := e.rng.Float64()
+			if x.Key != "" {
+				u = route.Unit(x.Key)
+			}
+			x.level = c.state.Choose(now, u)
+		}
+	}
+	x.chain.pools[x.level].take(now, x)
+}
+
+// release forgets a request that is over, once its last attempt has ended.
+func (e *Engine) release(x *Request) {
+	if !x.over.Load() || x.out > 0 || e.open[x.id] != x {
+		return
+	}
+	x.last.Release()
+	e.leave(x)
+}
+
+// leave takes a request out of its pool.
+func (e *Engine) leave(x *Request) {
+	delete(e.open, x.id)
+	p := x.pool
+	p.inside.Add(-1)
+	e.endIfLeft(p)
+}
+
+// ring calls the timers that are due. One that is set meanwhile waits for the
+// next round, so that timers cannot keep events out.
+func (e *Engine) ring() {
+	now := e.clock.now()
+	for n := len(e.timers); n > 0 && len(e.timers) > 0 && e.timers[0].at <= now; n-- {
+		w := heap.Pop(&e.timers).(wake)
+		if !w.pool.ended {
+			w.pool.bal.Timer(now, w.token)
+			w.pool.perform(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,372 @@
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/discovery"
+	"lynxspool/internal/flight"
+)
+
+// attemptsMost is how many attempts a request has at most, whatever pools it comes to.
+const attemptsMost = 4
+
+// PoolConfig is what a pool is made of.
+type PoolConfig struct {
+	Name      string
+	Settings  lynxspool.Settings
+	Seed      uint64
+	Zones     map[string]int // as the settings number them
+	Kinds     map[string]int
+	Transport Transport
+	Watch     func() // asks for changes of the list, where the module has to; must not wait
+	// Stop is called once the pool has left the plan and its last request has ended; it must
+	// not wait. Nil: nothing is to be stopped.
+	Stop      func()
+	Recording *Recording // nil: nothing is recorded
+}
+
+// Pool is the hosts of a service and the module that decides among them.
+type Pool struct {
+	Name   string
+	engine *Engine
+	cfg    PoolConfig
+
+	ready  atomic.Bool  // a host is known that takes requests
+	inside atomic.Int64 // requests in it, until over and no attempt is out
+
+	// All below belongs to the loop.
+	core   *lynxspool.Balancer
+	bal    flight.Module // core, or the recorder in front of it
+	record *recording    // nil: nothing is recorded
+	acts   []lynxspool.Action
+	denied []lynxspool.Outcome
+	moved  []*Request
+	hosts  map[lynxspool.HostID]*host
+	takes  int // hosts that the list calls ready
+	zones  numbers
+	kinds  numbers
+	chains []place // of the plan in use
+	usable [2]int  // as the chains were told
+	joined bool    // it has been in a plan, or never will be
+	left   bool    // it is in no plan any more
+	ended  bool
+}
+
+// host is a host as the loop knows it.
+type host struct {
+	Endpoint
+	id         string
+	zone, kind string
+	ready      bool
+}
+
+// NewPool makes a pool that is yet in no plan. Its Transport's Run is the caller's to start.
+func (e *Engine) NewPool(cfg PoolConfig) (*Pool, error) {
+	core, err := lynxspool.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Watch == nil {
+		cfg.Watch = func() {}
+	}
+	p := &Pool{
+		Name: cfg.Name, engine: e, cfg: cfg, core: core, bal: core,
+		hosts: map[lynxspool.HostID]*host{}, zones: newNumbers(cfg.Zones), kinds: newNumbers(cfg.Kinds),
+	}
+	if cfg.Recording != nil {
+		if err := p.startRecording(cfg.Recording); err != nil {
+			return nil, err
+		}
+	}
+	e.post(func(now lynxspool.Time) {
+		e.pools[p] = struct{}{}
+		p.bal.Start(now)
+		p.perform(now)
+	})
+	return p, nil
+}
+
+// Ready says whether a host is known that takes requests.
+func (p *Pool) Ready() bool { return p.ready.Load() }
+
+// Inside is the number of requests in the pool, those answered whose last attempt is yet to
+// end included.
+func (p *Pool) Inside() int64 { return p.inside.Load() }
+
+// Members is news of the list of hosts.
+func (p *Pool) Members(kind lynxspool.ListKind, list discovery.MemberList) {
+	p.engine.post(func(now lynxspool.Time) {
+		if !p.ended {
+			p.members(now, kind, list)
+			p.perform(now)
+		}
+	})
+}
+
+func (p *Pool) members(now lynxspool.Time, kind lynxspool.ListKind, list discovery.MemberList) {
+	if kind == lynxspool.ListFailed {
+		p.bal.Hosts(now, kind, nil)
+		return
+	}
+	listed := map[lynxspool.HostID]bool{}
+	entries := make([]lynxspool.Host, 0, len(list.Servers))
+	var gone []lynxspool.HostID
+	for i := range list.Servers {
+		m := &list.Servers[i]
+		e := lynxspool.Host{
+			ID: hostID(m.ID), Zone: p.zones.number(m.Zone), Cell: m.Cell, Kind: p.kinds.number(m.Kind),
+			State: m.HostState(), Started: lynxspool.Time(m.StartedMS) * lynxspool.Time(time.Millisecond),
+		}
+		h := p.hosts[e.ID]
+		if h == nil && e.State == lynxspool.Removed {
+			continue // it went before we knew of it
+		} else if h == nil {
+			h = &host{Endpoint: p.cfg.Transport.Host(m.ID), id: m.ID}
+			p.hosts[e.ID] = h
+			if p.record != nil {
+				p.record.rec.Name(now, e.ID, m.ID)
+			}
+		} else if h.id != m.ID {
+			// Two names with one HostID would be taken for one host.
+			slog.Error("host left out: its id collides with another's", "host", m.ID, "other", h.id)
+			continue
+		}
+		h.zone, h.kind, h.ready = m.Zone, m.Kind, e.State == lynxspool.Ready
+		listed[e.ID] = true
+		entries = append(entries, e)
+		h.Update(m.Addr, m.StartedMS, h.ready)
+		if e.State == lynxspool.Removed {
+			gone = append(gone, e.ID)
+		}
+	}
+	if kind != lynxspool.ListChanges {
+		for id, h := range p.hosts {
+			if !listed[id] {
+				gone = append(gone, id)
+				h.Update("", 0, false)
+			}
+		}
+	}
+	p.bal.Hosts(now, kind, entries)
+	for _, id := range gone {
+		delete(p.hosts, id) // what is still out there holds on to it
+	}
+	p.zones.forget(p.hosts, func(h *host) string { return h.zone })
+	p.kinds.forget(p.hosts, func(h *host) string { return h.kind })
+	p.takes = 0
+	for _, h := range p.hosts {
+		if h.ready {
+			p.takes++
+		}
+	}
+	p.ready.Store(p.takes > 0)
+}
+
+// hostID is the same for an id at every gateway and after every restart.
+func hostID(id string) lynxspool.HostID {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return lynxspool.HostID(h.Sum64())
+}
+
+// take gives a request to the pool's module.
+func (p *Pool) take(now lynxspool.Time, x *Request) {
+	e := p.engine
+	e.lastID++
+	x.id, x.pool, x.attempts = e.lastID, p, x.attempts[:0]
+	e.open[x.id] = x
+	p.inside.Add(1)
+	p.bal.Request(now, lynxspool.Request{
+		ID: x.id, Class: x.Class, Tenant: x.Tenant, Repeat: x.Repeat,
+		Left: max(0, e.clock.at(x.Deadline)-now),
+	})
+	p.perform(now)
+}
+
+// perform carries out what the module has decided. It is called behind each event of the
+// pool.
+func (p *Pool) perform(now lynxspool.Time) {
+	e := p.engine
+	for again := true; again; {
+		p.acts = p.bal.Drain(p.acts[:0])
+		for i := range p.acts {
+			a := &p.acts[i]
+			switch a.Kind {
+			case lynxspool.Send:
+				p.send(now, a)
+			case lynxspool.Cancel:
+				if x := e.open[a.Request]; x != nil && a.Attempt < len(x.attempts) {
+					x.attempts[a.Attempt]()
+				}
+			case lynxspool.Refuse, lynxspool.Fail:
+				p.answer(now, a)
+			case lynxspool.Wake:
+				heap.Push(&e.timers, wake{a.At, a.Token, p})
+			case lynxspool.Close:
+				if h := p.hosts[a.Host]; h != nil {
+					h.CloseIdle()
+				}
+			case lynxspool.Watch:
+				p.cfg.Watch()
+			case lynxspool.Log:
+				p.say(a)
+			}
+		}
+		// What the route's budget denied never went out; the module is told, and says what
+		// follows: in the end, the final answer.
+		again = len(p.denied) > 0
+		for _, o := range p.denied {
+			p.bal.Outcome(now, o)
+		}
+		p.denied = p.denied[:0]
+	}
+	if len(p.chains) > 0 {
+		p.tell(now)
+	}
+	for len(p.moved) > 0 {
+		x := p.moved[len(p.moved)-1]
+		p.moved = p.moved[:len(p.moved)-1]
+		x.chain.pools[x.level].take(now, x)
+	}
+}
+
+// say logs what the module has to say.
+func (p *Pool) say(a *lynxspool.Action) {
+	var args []any
+	if h := p.hosts[a.Host]; h != nil {
+		args = append(args, "host", h.id)
+	}
+	if p.Name != "" {
+		args = append(args, "pool", p.Name)
+	}
+	slog.Info(a.Text, args...)
+}
+
+// send starts an attempt; its end comes back as one event, whatever happens.
+func (p *Pool) send(now lynxspool.Time, a *lynxspool.Action) {
+	e := p.engine
+	x, h := e.open[a.Request], p.hosts[a.Host]
+	if x == nil || h == nil {
+		// The module names only what it was told of, and keeps no request longer.
+		panic("engine: attempt of an unknown request or host")
+	}
+	n := len(x.attempts)
+	if x.sent > 0 && (x.sent >= attemptsMost || x.Route.budget != nil && !x.Route.budget.Retry(now)) {
+		x.attempts = append(x.attempts, func() {})
+		p.denied = append(p.denied, lynxspool.Outcome{Request: x.id, Attempt: n, Result: lynxspool.NotSent, Closed: x.Over()})
+		return
+	}
+	until := x.Deadline
+	if at := e.clock.time(a.At); a.At > 0 && at.Before(until) {
+		until = at
+	}
+	ctx, cancel := context.WithDeadline(e.ctx, until)
+	x.attempts = append(x.attempts, cancel)
+	x.out++
+	x.sent++
+	go func() {
+		// Taken here, not by the loop: what waits for the loop, or for a turn on the
+		// core, is no latency of the host.
+		sent := time.Now()
+		result := h.Attempt(ctx, x)
+		took := time.Since(sent)
+		cancel()
+		e.post(func(now lynxspool.Time) { p.over(now, x, n, took, result) })
+	}()
+}
+
+// over is the end of an attempt. The first good answer ends the request by itself; the
+// module is told so.
+func (p *Pool) over(now lynxspool.Time, x *Request, n int, took time.Duration, r Result) {
+	x.out--
+	outcome := r.Outcome
+	if r.Answered {
+		outcome = x.Route.Judge(&r.Answer)
+		switch {
+		case outcome == lynxspool.OK && x.finish(r.Answer):
+			p.answered(false)
+		case outcome != lynxspool.OK && x.Route.PassOn && !x.Over():
+			x.last.Release()
+			x.last = r.Answer
+		default:
+			r.Answer.Release()
+		}
+	}
+	x.proved = x.proved && neverRan(outcome)
+	p.bal.Outcome(now, lynxspool.Outcome{
+		Request: x.id, Attempt: n, Result: outcome,
+		Elapsed: took, Closed: x.over.Load(),
+	})
+	p.engine.release(x)
+	p.perform(now)
+}
+
+// neverRan says whether an outcome proves that the attempt never ran.
+func neverRan(r lynxspool.Result) bool {
+	return r == lynxspool.Full || r == lynxspool.ConnectFailed || r == lynxspool.NotSent
+}
+
+// answer gives the module's final answer, unless another pool of the chain may still serve
+// the request.
+func (p *Pool) answer(now lynxspool.Time, a *lynxspool.Action) {
+	e := p.engine
+	x := e.open[a.Request]
+	if x == nil {
+		return
+	}
+	if a.Kind == lynxspool.Refuse && p.moves(now, x) {
+		return
+	}
+	p.answered(a.Kind == lynxspool.Refuse)
+	final := Answer{Kind: Failed}
+	switch {
+	case a.Why == lynxspool.CauseSpent && x.last.Kind == Served:
+		// All that it may have had has ended, and this is what a host said.
+		final, x.last = x.last, Answer{}
+	case a.Kind == lynxspool.Refuse:
+		final = Answer{Kind: Refused, RetryAfter: a.After}
+	}
+	if !x.finish(final) {
+		final.Release()
+	}
+	e.release(x)
+}
+
+// moves has a request that its pool turns away go on to the next pool of its chain: only
+// where connections to this one failed or it was sent here as a trial, and nothing of it
+// may have run. A pool that is full keeps its refusals, as they would push over the next.
+func (p *Pool) moves(now lynxspool.Time, x *Request) bool {
+	if len(x.chain.pools) < 2 || x.out > 0 || x.Over() || x.sent >= attemptsMost || !x.proved && !x.Route.safe(x.Class) ||
+		!x.trial && x.sent == 0 || !x.Deadline.After(p.engine.clock.time(now)) {
+		return false
+	}
+	next, ok := x.chain.state.Next(now, x.level, x.trial)
+	if !ok {
+		return false
+	}
+	x.level, x.trial = next, false
+	p.engine.leave(x)
+	p.moved = append(p.moved, x)
+	return true
+}
+
+// tell has the chains know how many hosts can be used, where that has changed.
+func (p *Pool) tell(now lynxspool.Time) {
+	usable, drawn := p.core.Usable()
+	if drawn > 0 {
+		usable = usable * p.takes / drawn // the module may draw from a part, which stands for all
+	}
+	if p.usable == [2]int{usable, len(p.hosts)} {
+		return
+	}
+	p.usable = [2]int{usable, len(p.hosts)}
+	for _, c := range p.chains {
+		c.chain.state.Usable(now, c.level, usable, len(p.hosts))
+	}
+}
--- /dev/null
+++ b/internal/engine/request.go
@@ -0,0 +1,125 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/body"
+)
+
+// Request is one request of a client and its one final answer. A front fills in the first
+// part and hands it over with Engine.Do; transports read it.
+type Request struct {
+	Method string
+	Target string // path and query, byte for byte as they came
+	Host   string
+	Header http.Header // those that are passed on
+	Body   body.Body
+
+	Route    *Route
+	Class    int // as the pools of the route number them
+	Tenant   int
+	Repeat   bool      // the client says that it has asked before
+	Deadline time.Time // when its answer is due
+	Key      string    // what a split keeps together; "": chance
+
+	over   atomic.Bool // it is answered or nobody waits: set once, by Close
+	answer chan Answer // holds the answer that finish was won with
+
+	// The rest belongs to the loop.
+	id       lynxspool.RequestID
+	pool     *Pool
+	attempts []context.CancelFunc // of the pool that it is in now
+	out      int
+	sent     int  // attempts that went out, in all pools
+	proved   bool // all that ended so far never ran
+	chain    *chain
+	level    int    // of the chain that it is in
+	trial    bool   // sent to see whether a pool is back
+	last     Answer // what a host said that was no success, to be passed on if nothing better comes
+}
+
+// Over says whether it has its answer or nobody waits for one: nothing may go out for it.
+func (x *Request) Over() bool { return x.over.Load() }
+
+// Left is the time until its answer is due.
+func (x *Request) Left() time.Duration { return max(0, time.Until(x.Deadline)) }
+
+// Close ends a request and says whether it was still open: whoever closes it gives the
+// answer, so that there is one.
+func (x *Request) Close() bool { return x.over.CompareAndSwap(false, true) }
+
+// finish gives the answer if there is none yet, and says whether it did.
+func (x *Request) finish(a Answer) bool {
+	won := x.Close()
+	if won {
+		x.answer <- a
+	}
+	return won
+}
+
+// Kind says what an Answer is.
+type Kind uint8
+
+// Kinds of answer.
+const (
+	Failed  Kind = iota // nothing is promised about its effect
+	Served              // what a host said
+	Refused             // turned away: trying again is harmless
+)
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Kind       Kind
+	Status     int         // Served
+	Header     http.Header // Served
+	Body       body.Body   // Served
+	RetryAfter time.Duration
+	Free       func() // gives back what the body holds of a budget; nil: nothing
+}
+
+// Release is called once by whoever has an Answer last.
+func (a *Answer) Release() {
+	if a.Free != nil {
+		a.Free()
+		a.Free = nil
+	}
+}
+
+// Result is the end of one attempt.
+type Result struct {
+	// Answered says that a whole answer came; the rule of the route reads it. Else Outcome
+	// says how the attempt ended. A Result that proves that nothing ran is given only with
+	// the proof that the protocol's own text names.
+	Answered bool
+	Answer   Answer
+	Outcome  lynxspool.Result
+}
+
+// Ended is a Result without an answer.
+func Ended(outcome lynxspool.Result) Result { return Result{Outcome: outcome} }
+
+// Transport makes attempts by one protocol at the hosts of one pool, and keeps the
+// connections to them.
+type Transport interface {
+	// Host makes an Endpoint of a host that has come.
+	Host(id string) Endpoint
+	// Run does what has to be done from time to time, until ctx ends; then it closes what
+	// is idle, and later what attempts still out are done with.
+	Run(ctx context.Context)
+}
+
+// Endpoint is a host to a Transport. Update and CloseIdle come from the loop and must not
+// wait; Attempt comes from goroutines of its own.
+type Endpoint interface {
+	// Update takes over what the list says. Where usable is false nothing new may go out.
+	Update(addr string, started int64, usable bool)
+	CloseIdle()
+	// Attempt sends a request at most once, and says how that ended. ctx ends when it is to
+	// be given up, by its deadline or by being called off. It looks again at Over and at
+	// usable before the first byte goes out.
+	Attempt(ctx context.Context, x *Request) Result
+}
--- /dev/null
+++ b/internal/front/gate.go
@@ -0,0 +1,366 @@
+// Package front has what the fronts of all protocols share: the gate through which requests
+// come in, checked, counted and with their route. It decides nothing about them.
+package front
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/engine"
+	"lynxspool/internal/route"
+)
+
+// Headers of requests, as net/http spells them.
+const (
+	headID      = "X-Request-Id"
+	headClass   = "X-Priority-Class"
+	headTenant  = "X-Tenant-Id"
+	headTimeout = "X-Timeout"
+	headRetried = "X-Retried"
+	headKey     = "Idempotency-Key"
+)
+
+const (
+	// MaxBody is the longest body of a request.
+	MaxBody = 64 << 10
+	// answerMargin is how long before the client stops waiting the answer is due. From
+	// a host's answer to the client 0.4 ms pass in 99 of 100 cases, as measured; a
+	// shared core may hold us up a few more.
+	answerMargin = 5 * time.Millisecond
+	// bodyShare is the part of the memory limit that the bodies of all requests may
+	// fill. A request out holds its body and a copy as sent; an answer as much again.
+	bodyShare = 1.0 / 8
+	// FullRetryAfter is when a request turned away for want of memory may come back:
+	// most are answered within it.
+	FullRetryAfter = 100 * time.Millisecond
+	maxID          = 64 // characters of a request's id
+)
+
+// Message is the head of a client's request, as its protocol gave it.
+type Message struct {
+	Method string
+	Target string // as it came
+	Host   string
+	Header http.Header
+	Length int64 // of the body
+}
+
+// BadRequest says why a request goes to no host, and with what status.
+type BadRequest struct {
+	Status int
+	text   string
+}
+
+func (b *BadRequest) Error() string { return b.text }
+
+// Bad makes a BadRequest.
+func Bad(status int, format string, args ...any) error {
+	return &BadRequest{status, fmt.Sprintf(format, args...)}
+}
+
+// Status is the status that goes with an error.
+func Status(err error) int {
+	var bad *BadRequest
+	if errors.As(err, &bad) {
+		return bad.Status
+	}
+	return http.StatusBadRequest
+}
+
+// Gate is what all fronts of a gateway bring their requests through. It owns the ids and
+// the memory for bodies.
+type Gate struct {
+	Engine *engine.Engine
+
+	ids       ids
+	bodies    atomic.Int64 // bytes of bodies held now
+	bodiesMax int64
+	exitAt    atomic.Pointer[time.Time] // set once stopping: all answers are due by then
+}
+
+// NewGate returns a Gate for a process that may fill so many bytes.
+func NewGate(e *engine.Engine, memory int64) *Gate {
+	return &Gate{Engine: e, bodiesMax: int64(bodyShare * float64(memory))}
+}
+
+// Stop has all answers due by a time.
+func (g *Gate) Stop(exitAt time.Time) { g.exitAt.Store(&exitAt) }
+
+// Entry is a request on its way in, and then at the engine.
+type Entry struct {
+	engine.Request
+	gate *Gate
+	plan *engine.Plan
+	id   string // "": it is not remembered
+	held int64
+	left time.Duration
+}
+
+// Begin checks the head of a request, finds its route and looks up what the module needs. It
+// guards the hosts: a request that they can't read ends its connection there. With no error
+// the caller calls End once the request has its answer.
+func (g *Gate) Begin(m *Message, came time.Time) (*Entry, error) {
+	plan := g.Engine.Plan()
+	if plan == nil {
+		return nil, Bad(http.StatusServiceUnavailable, "starting")
+	}
+	e := &Entry{gate: g, plan: plan}
+	if err := e.begin(m, came); err != nil {
+		plan.Release()
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Entry) begin(m *Message, came time.Time) error {
+	e.Method, e.Target, e.Host, e.Header = m.Method, origin(m.Target), m.Host, m.Header
+	if m.Length > MaxBody {
+		return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", MaxBody)
+	}
+	if e.plan.Table == nil {
+		e.Route = e.plan.Route(nil)
+	} else {
+		q := route.Request{Method: m.Method, Header: e.header}
+		var err error
+		if q.Host, q.Path, err = route.Target(m.Target, m.Host); err != nil {
+			return Bad(http.StatusBadRequest, "%v", err)
+		}
+		if e.Route = e.plan.Route(&q); e.Route == nil {
+			return Bad(http.StatusNotFound, "no route takes it")
+		}
+		if by := e.Route.SplitBy(); by != "" {
+			e.Key, _ = e.header(by)
+		}
+	}
+	if e.Route.Plain != nil {
+		e.plain(m)
+		return nil
+	}
+	return e.protocol(m, came)
+}
+
+// header is a header's value, as the routes see it.
+func (e *Entry) header(name string) (string, bool) {
+	v, ok := e.Header[http.CanonicalHeaderKey(name)]
+	if len(v) == 1 {
+		return v[0], true
+	}
+	return strings.Join(v, ", "), ok
+}
+
+// origin is a target in origin-form: of one that names a host, what is behind that.
+func origin(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, ok := strings.Cut(target, "://")
+	if !ok {
+		return target
+	}
+	i := strings.IndexAny(rest, "/?")
+	switch {
+	case i < 0:
+		return "/"
+	case rest[i] == '?':
+		return "/" + rest[i:]
+	}
+	return rest[i:]
+}
+
+// protocol reads a request in the protocol's form. With no error its id is open.
+func (e *Entry) protocol(m *Message, came time.Time) error {
+	r := e.Route
+	var id, class, tenant, timeout, retried, key string
+	for _, h := range [...]struct {
+		name string
+		to   *string
+	}{
+		{headID, &id}, {headClass, &class}, {headTimeout, &timeout}, {headTenant, &tenant},
+		{headRetried, &retried}, {headKey, &key},
+	} {
+		switch v := m.Header[h.name]; {
+		case len(v) > 1:
+			return Bad(http.StatusBadRequest, "%s: is there more than once", h.name)
+		case len(v) == 1:
+			*h.to = v[0]
+		}
+	}
+	if !wellFormed(id) {
+		return Bad(http.StatusBadRequest, "%s: missing or malformed", headID)
+	}
+	var ok bool
+	if e.Class, ok = r.Names[class]; !ok {
+		return Bad(http.StatusBadRequest, "%s: unknown class", headClass)
+	}
+	rules := &r.Classes[e.Class]
+	if len(r.Tenants) > 0 {
+		if e.Tenant, ok = r.Tenants[tenant]; !ok {
+			return Bad(http.StatusBadRequest, "%s: unknown tenant", headTenant)
+		}
+	}
+	if safe := rules.Effect == lynxspool.Safe; safe != (m.Method == http.MethodGet) ||
+		!safe && m.Method != http.MethodPost || safe && m.Length > 0 {
+		return Bad(http.StatusBadRequest, "a request of this class has another method")
+	}
+	if rules.Effect == lynxspool.Keyed && key == "" {
+		// Without it no host would drop the repeat that the module may send.
+		return Bad(http.StatusBadRequest, "%s: missing, the class needs one", headKey)
+	}
+	e.Repeat = retried == "1"
+	delete(EndToEnd(e.Header), headTimeout) // hosts are told their own
+	seconds, ok := readSeconds(timeout)
+	if !ok {
+		return Bad(http.StatusBadRequest, "%s: no number of seconds", headTimeout)
+	}
+	// No client waits longer than the deadline of the class.
+	e.left = time.Duration(min(seconds, rules.Deadline.Seconds()) * float64(time.Second))
+	if !e.gate.ids.start(id, came) {
+		// Another client's: two requests under one id can't be told apart by hosts.
+		return Bad(http.StatusConflict, "%s: in use", headID)
+	}
+	e.id = id
+	return nil
+}
+
+func readSeconds(s string) (float64, bool) {
+	x, err := strconv.ParseFloat(s, 64)
+	return x, err == nil && strings.Trim(s, "0123456789.") == ""
+}
+
+// plain gives a request that needs none of our headers what it lacks: class and time are the
+// route's, and the id is made where there is none of its own. What may be sent again is what
+// both the class and the method allow (RFC 9110, 9.2.1 and 9.2.2): of the methods that are
+// idempotent but not safe, only those that the route names.
+func (e *Entry) plain(m *Message) {
+	p := e.Route.Plain
+	e.Class = p.Class
+	switch m.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+	default:
+		keyed := e.Route.Classes[p.Class].Effect == lynxspool.Keyed
+		if key := m.Header[headKey]; keyed && (len(key) != 1 || key[0] == "") ||
+			!keyed && !slices.Contains(p.Repeatable, m.Method) {
+			e.Class = p.Unsafe
+		}
+	}
+	if retried := m.Header[headRetried]; len(retried) == 1 && retried[0] == "1" {
+		e.Repeat = true
+	}
+	e.left = min(p.Timeout, e.Route.Classes[e.Class].Deadline)
+	if told := m.Header[headTimeout]; len(told) == 1 {
+		if s, ok := readSeconds(told[0]); ok && s < e.left.Seconds() {
+			e.left = time.Duration(s * float64(time.Second))
+		}
+	}
+	delete(EndToEnd(e.Header), headTimeout)
+	if id := m.Header[headID]; len(id) != 1 || !wellFormed(id[0]) {
+		e.Header[headID] = []string{fmt.Sprintf("%016x", rand.Uint64())}
+	}
+}
+
+// Hold takes leave to hold n bytes of body. It guards the memory limit.
+func (e *Entry) Hold(n int64) error {
+	if e.gate.bodies.Add(n) > e.gate.bodiesMax {
+		e.gate.bodies.Add(-n)
+		return Bad(http.StatusServiceUnavailable, "too much is being held, trying again is harmless")
+	}
+	e.held += n
+	return nil
+}
+
+// Came says when the last byte of the request came: its time counts from there.
+func (e *Entry) Came(at time.Time) {
+	e.Deadline = at.Add(e.left - answerMargin)
+	if exit := e.gate.exitAt.Load(); exit != nil && e.Deadline.After(*exit) {
+		e.Deadline = *exit
+	}
+}
+
+// End gives back what the entry holds.
+func (e *Entry) End() {
+	e.gate.bodies.Add(-e.held)
+	if e.id != "" {
+		e.gate.ids.end(e.id)
+	}
+	e.plan.Release()
+}
+
+// Bodies is how many bytes of bodies are held now, and how many may be.
+func (g *Gate) Bodies() (held, most int64) { return g.bodies.Load(), g.bodiesMax }
+
+// Open is the number of ids that are in use.
+func (g *Gate) Open() int {
+	g.ids.mu.Lock()
+	defer g.ids.mu.Unlock()
+	return len(g.ids.open)
+}
+
+// Health says whether requests can be served, and which pools can't serve theirs.
+func (g *Gate) Health() (ok bool, text string) {
+	if g.exitAt.Load() != nil {
+		return false, "stopping\n"
+	}
+	plan := g.Engine.Plan()
+	if plan == nil {
+		return false, "starting\n"
+	}
+	defer plan.Release()
+	var out []string
+	plan.Pools(func(p *engine.Pool) {
+		if p.Ready() {
+			ok = true
+		} else if p.Name != "" {
+			out = append(out, "pool "+p.Name+": no host takes requests\n")
+		}
+	})
+	switch {
+	case !ok && len(out) == 0:
+		text = "no hosts known\n"
+	case ok && len(out) == 0:
+		text = "ok\n"
+	}
+	return ok, text + strings.Join(out, "")
+}
+
+// wellFormed says whether an id can be one: nothing in it may mean anything to whoever
+// reads it in a head or a log.
+func wellFormed(id string) bool {
+	if id == "" || len(id) > maxID {
+		return false
+	}
+	for i := range len(id) {
+		switch c := id[i]; {
+		case '0' <= c && c <= '9', 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', c == '-', c == '_', c == '.', c == ':':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// EndToEnd takes out the headers that are not passed on.
+func EndToEnd(h http.Header) http.Header {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+	return h
+}
--- a/internal/gateway/clients.go
+++ b/internal/front/http1/clients.go
@@ -1,4 +1,4 @@
-package gateway
+package http1
 
 import (
 	"container/list"
--- /dev/null
+++ b/internal/front/http1/server.go
@@ -0,0 +1,304 @@
+// Package http1 is the front for clients that speak HTTP/1.1.
+package http1
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"maps"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lynxspool/internal/body"
+	"lynxspool/internal/engine"
+	"lynxspool/internal/front"
+)
+
+// Options are what a Server is told.
+type Options struct {
+	Sockets int           // connections of clients
+	Spare   int           // beyond those, before a new connection is closed at once
+	Longest time.Duration // deadline of any class
+}
+
+// crowdedShare is the share of Sockets, in hundredths, from which there is a crowd: those of
+// no use for long are closed, and the others end with their answers, as in a crowd each is
+// used once and may not be closed for idleLeast if it stays open.
+const crowdedShare = 65
+
+const (
+	pathHealth = "/_health"
+
+	// Clients still come for up to 0.4 s after SIGTERM, and what waits in the
+	// listener's backlog counts as taken: lingerTime is that and room to accept it.
+	lingerTime = 600 * time.Millisecond
+	// At this long after SIGTERM and the longest deadline (exitDeadline at most), the
+	// gateway is killed; stopMargin is left for the last answers to get out.
+	exitTime     = 700 * time.Millisecond
+	exitDeadline = 3 * time.Second
+	stopMargin   = 100 * time.Millisecond
+	// Clients use the connections that they have for as long as these stay open, and may
+	// have no other gateway to go to. So they are asked to leave only leaveTime before
+	// the exit: most connections in use carry a request within it. At closeTime before the
+	// exit those without one are closed; most requests out then are still answered.
+	leaveTime = 300 * time.Millisecond
+	closeTime = 100 * time.Millisecond
+
+	// requestTimeout is for a client to get a request through, head and body. A client
+	// that has not is owed an error or a close within 3 s of connecting.
+	requestTimeout = 2500 * time.Millisecond
+	writeTimeout   = 10 * time.Second // for a client to take its answer
+	// What a client goes on sending behind an error is read for drainTime, drainBytes at
+	// most: enough for whoever was a little over the limit to see why.
+	drainTime   = 500 * time.Millisecond
+	drainBytes  = 4 * front.MaxBody
+	idleTimeout = 15 * time.Second // for a connection with no request: some are never used again
+	// idleLeast is how long a connection with no request is left open even when there
+	// is need of room: a close sooner may cross a request that the client has begun.
+	idleLeast = 2 * time.Second
+	// silentCrowded is how long a connection may bring nothing before it is closed in a
+	// crowd: clients open one when they have a request.
+	silentCrowded = time.Second
+
+	// silentLeast is how long a connection is given to bring its first request while
+	// others can be closed: in a crowd many have just come and are yet to be read.
+	silentLeast = 100 * time.Millisecond
+
+	// maxRequestHead holds any head in the protocol's form several times over; net/http
+	// adds 4 KiB. Clients by the hundred may send that much at once.
+	maxRequestHead = 8 << 10
+)
+
+// Server is the side of the clients, on any number of listeners.
+type Server struct {
+	gate    *front.Gate
+	http    http.Server
+	longest atomic.Int64 // deadline of any class, a time.Duration
+	clients clients
+
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	stopping  atomic.Bool
+	leaving   atomic.Bool // connections end with their answers
+}
+
+// New returns a Server that brings its requests through gate.
+func New(gate *front.Gate, o Options) *Server {
+	s := &Server{gate: gate, listeners: map[net.Listener]struct{}{}}
+	s.SetLongest(o.Longest)
+	s.clients.budget, s.clients.most = o.Sockets, o.Sockets+o.Spare
+	s.http = http.Server{
+		Handler:        http.HandlerFunc(s.serve), // no ServeMux: it would clean paths and redirect
+		ConnState:      s.clients.track,
+		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, clientKey{}, c) },
+		ReadTimeout:    requestTimeout,
+		WriteTimeout:   o.Longest + writeTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxRequestHead,
+		// What it would say there are lines about single bad clients.
+		ErrorLog: log.New(io.Discard, "", 0),
+
+		DisableGeneralOptionsHandler: true,
+	}
+	return s
+}
+
+// SetLongest says what the longest deadline of any class is by now.
+func (s *Server) SetLongest(d time.Duration) { s.longest.Store(int64(d)) }
+
+// Serve takes requests from ln, until Stop or Leave has closed it.
+func (s *Server) Serve(ln net.Listener) error {
+	s.mu.Lock()
+	s.listeners[ln] = struct{}{}
+	s.mu.Unlock()
+	err := s.http.Serve(clientListener{ln})
+	s.mu.Lock()
+	_, there := s.listeners[ln]
+	s.mu.Unlock()
+	if errors.Is(err, http.ErrServerClosed) || !there && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Leave closes a listener. The connections that came by it are served on.
+func (s *Server) Leave(ln net.Listener) {
+	s.mu.Lock()
+	delete(s.listeners, ln)
+	s.mu.Unlock()
+	ln.Close() // it can fail only by being closed
+}
+
+// Close ends it all at once.
+func (s *Server) Close() { s.http.Close() }
+
+// Stop ends service in order: it goes on taking what still comes, closes the listeners
+// when nobody new will come, serves whoever has a connection until shortly before the
+// exit, then asks clients to leave, closes idle connections and waits for what was taken.
+func (s *Server) Stop() {
+	exitAt := time.Now().Add(exitTime + min(time.Duration(s.longest.Load()), exitDeadline) - stopMargin)
+	s.gate.Stop(exitAt)
+	s.stopping.Store(true)
+	time.Sleep(lingerTime)
+	s.mu.Lock()
+	for ln := range s.listeners {
+		delete(s.listeners, ln)
+		ln.Close() // it can fail only by being closed
+	}
+	s.mu.Unlock()
+	s.wait(s.clients.inUse, exitAt.Add(-leaveTime))
+	s.leaving.Store(true)
+	s.wait(s.clients.inUse, exitAt.Add(-closeTime))
+	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
+	defer cancel()
+	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
+	s.wait(s.clients.busy, exitAt)
+}
+
+// wait returns when what it is given no longer holds, or at the time until.
+func (s *Server) wait(holds func() bool, until time.Time) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for holds() && time.Now().Before(until) {
+		<-tick.C
+	}
+}
+
+// serve answers one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	c := r.Context().Value(clientKey{}).(*clientConn)
+	if c.use.Load() == connClosed {
+		return // its connection was closed to make room, so nothing may go out for it
+	}
+	if s.leaving.Load() || !s.stopping.Load() && s.clients.crowded() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.Method == http.MethodGet && r.URL.Path == pathHealth {
+		s.health(w)
+		return
+	}
+	x, err := s.read(c, r, came)
+	if err != nil {
+		s.turnAway(w, r, c, err)
+		return
+	}
+	defer x.End()
+	a, there := s.gate.Engine.Do(r.Context(), &x.Request)
+	if !there {
+		return
+	}
+	write(w, &x.Request, &a)
+	a.Release()
+}
+
+// turnAway answers a request that goes to no host. The connection ends with the
+// answer: what comes behind a bad request is not to be trusted, and a body that is
+// not read would be taken for the next one.
+func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, c *clientConn, err error) {
+	status := front.Status(err)
+	w.Header().Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.FormatFloat(front.FullRetryAfter.Seconds(), 'f', -1, 64))
+	}
+	http.Error(w, err.Error(), status)
+	s.clients.spend(c)
+	if r.ContentLength == 0 {
+		return
+	}
+	// A close with bytes unread resets the connection, and the reset may overtake the
+	// answer. So the answer goes out first and then the client is heard a little more.
+	// If a part of this fails the client has gone.
+	http.NewResponseController(w).Flush()
+	c.SetReadDeadline(time.Now().Add(drainTime))
+	io.CopyN(io.Discard, r.Body, drainBytes)
+}
+
+// health tells whoever deals out clients whether requests can be served.
+func (s *Server) health(w http.ResponseWriter) {
+	ok, text := s.gate.Health()
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	io.WriteString(w, text)
+}
+
+// read reads a request whole. With no error it is entered.
+func (s *Server) read(c *clientConn, r *http.Request, came time.Time) (*front.Entry, error) {
+	// A length beside a Transfer-Encoding may hide another request in the body, and
+	// net/http drops the one or, in HTTP/1.0, the other unsaid. Clients of this
+	// protocol send a length, in HTTP/1.1.
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		return nil, front.Bad(http.StatusBadRequest, "the body needs a Content-Length, in HTTP/1.1")
+	}
+	x, err := s.gate.Begin(&front.Message{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Length: r.ContentLength,
+	}, came)
+	if err != nil {
+		return nil, err
+	}
+	if n := r.ContentLength; n > 0 {
+		if err := x.Hold(n); err != nil {
+			x.End()
+			return nil, err
+		}
+		text := make([]byte, n)
+		if _, err := io.ReadFull(r.Body, text); err != nil {
+			x.End()
+			return nil, front.Bad(http.StatusBadRequest, "the body did not arrive")
+		}
+		x.Body = body.Held(text)
+		// A request's time counts from its last byte, which may come long after its first.
+		came = time.Now()
+	}
+	x.Came(came)
+	// The time for reading is over; left standing it would end the wait for the answer.
+	c.SetReadDeadline(time.Time{})
+	if until := x.Deadline.Add(writeTimeout); until.After(came.Add(s.http.WriteTimeout)) {
+		c.SetWriteDeadline(until) // its class came with a reload
+	}
+	return x, nil
+}
+
+// write gives a client its answer.
+func write(w http.ResponseWriter, x *engine.Request, a *engine.Answer) {
+	switch a.Kind {
+	case engine.Served:
+		h := w.Header()
+		length := a.Header["Content-Length"]
+		maps.Copy(h, front.EndToEnd(a.Header))
+		if _, there := h["Content-Type"]; !there {
+			h["Content-Type"] = nil // it is not ours to guess
+		}
+		if a.Body.Len() > 0 || x.Method != http.MethodHead && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+			h.Set("Content-Length", strconv.FormatInt(a.Body.Len(), 10))
+		} else if len(length) == 1 && a.Status != http.StatusNoContent {
+			h["Content-Length"] = length // of what a GET would bring
+		}
+		w.WriteHeader(a.Status)
+		w.Write(a.Body.Bytes()) // if it fails the client has gone
+	case engine.Refused:
+		if after := a.RetryAfter; after > 0 {
+			w.Header().Set("Retry-After", retryAfter(after, x.Route.Plain != nil))
+		}
+		http.Error(w, "turned away, trying again is harmless", http.StatusServiceUnavailable)
+	default:
+		http.Error(w, "failed, it may have been done", http.StatusBadGateway)
+	}
+}
+
+// retryAfter words an advice: in decimals where clients know our protocol, and else in whole
+// seconds, as RFC 9110, 10.2.3 has it.
+func retryAfter(after time.Duration, plain bool) string {
+	s := after.Seconds()
+	if plain {
+		s = math.Ceil(s)
+	}
+	return strconv.FormatFloat(s, 'f', -1, 64)
+}
--- /dev/null
+++ b/internal/gateway/appliance.go
@@ -0,0 +1,328 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/config"
+	"lynxspool/internal/discovery"
+	"lynxspool/internal/engine"
+	hosts "lynxspool/internal/host/http1"
+	"lynxspool/internal/route"
+)
+
+const (
+	// retryAfterMost is the longest that a refusal tells a client to stay away.
+	retryAfterMost = 5 * time.Second
+	// A host that has just started is taken to fall over at overloadFactor times what it can
+	// do, kept up for overloadTime. They bind only where the file says how hosts start.
+	overloadFactor = 2.5
+	overloadTime   = 1500 * time.Millisecond
+	// listWait is how long a reload waits for the discovery of a new pool to name a host, so
+	// that requests do not find the pool empty. If it has not by then, they do.
+	listWait = 2 * time.Second
+)
+
+// box is what an appliance keeps beside the engine.
+type box struct {
+	file      *config.Appliance
+	recording *engine.RecordingConfig
+	pools     map[string]*boxPool
+	listeners map[string]net.Listener // by address as the file has it
+}
+
+// boxPool is a pool with where its members come from.
+type boxPool struct {
+	*engine.Pool
+	cfg       config.Pool
+	transport *hosts.Transport
+	ctx       context.Context
+	cancel    context.CancelFunc
+	settings  lynxspool.Settings
+	source    context.CancelFunc // ends the source of members
+	sink      *atomic.Pointer[feed]
+}
+
+// feed passes on what a source tells, until another source has taken its place.
+type feed struct {
+	pool *engine.Pool
+	now  *atomic.Pointer[feed]
+	told chan struct{} // closed by the first list
+	once atomic.Bool
+}
+
+func (f *feed) Members(kind lynxspool.ListKind, list discovery.MemberList) {
+	if f.now.Load() != f {
+		return // it was replaced: a last word of the old source must not undo the new one's
+	}
+	f.pool.Members(kind, list)
+	if kind != lynxspool.ListFailed && f.once.CompareAndSwap(false, true) {
+		close(f.told)
+	}
+}
+
+// StartAppliance serves by a file. Nothing is left behind where it fails.
+func StartAppliance(a *config.Appliance, rc *engine.RecordingConfig) (*Gateway, error) {
+	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryOf(a.Limits.MemoryMB), longest(a))
+	g.box = &box{recording: rc, pools: map[string]*boxPool{}, listeners: map[string]net.Listener{}}
+	go g.engine.Run(g.ctx)
+	if err := g.apply(a, false); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// Reload serves by another file, all at once. Where it can't, it says why and nothing has
+// changed. Requests that are in end as they began.
+func (g *Gateway) Reload(a *config.Appliance) error {
+	if old := g.box.file.Limits; old != a.Limits {
+		slog.Warn("limits changed in the file are used from the next start on")
+	}
+	return g.apply(a, true)
+}
+
+func longest(a *config.Appliance) (d time.Duration) {
+	for _, c := range a.Classes {
+		d = max(d, c.Deadline)
+	}
+	return d
+}
+
+// apply takes a file over. All that can fail comes before all that changes anything.
+func (g *Gateway) apply(a *config.Appliance, running bool) error {
+	b := g.box
+	var opened []net.Listener
+	var made []*boxPool
+	undo := func(err error) error {
+		for _, ln := range opened {
+			ln.Close()
+		}
+		for _, p := range made {
+			p.source()
+			p.cancel()
+		}
+		g.engine.Drop()
+		return err
+	}
+	listeners := map[string]net.Listener{}
+	for _, l := range a.Listeners {
+		ln := b.listeners[l.Address]
+		if ln == nil {
+			var err error
+			if ln, err = net.Listen("tcp", l.Address); err != nil {
+				return undo(fmt.Errorf("listener %s: %w", l.Name, err))
+			}
+			opened = append(opened, ln)
+		}
+		listeners[l.Address] = ln
+	}
+	classes := classesOf(a)
+	shares := sharesOf(a)
+	pools := map[string]*boxPool{}
+	var uses []engine.PoolUse
+	for i, cfg := range a.Pools {
+		set := settings(cfg, classes.list)
+		p := b.pools[cfg.Name]
+		if p == nil || !reflect.DeepEqual(p.settings, set) {
+			var err error
+			if p, err = g.newPool(a, cfg, set, classes.names); err == nil {
+				made = append(made, p)
+				err = p.follow(cfg, running)
+			}
+			if err != nil {
+				return undo(fmt.Errorf("pool %s: %w", cfg.Name, err))
+			}
+		} else if cfg.File != "" && cfg.File != p.cfg.File {
+			if _, err := discovery.ReadFile(cfg.File); err != nil {
+				return undo(fmt.Errorf("pool %s: %w", cfg.Name, err))
+			}
+		}
+		pools[cfg.Name] = p
+		uses = append(uses, engine.PoolUse{Pool: p.Pool, Need: cfg.Need, Fallback: a.Pools[i].Fallback})
+	}
+	var routes []*engine.Route
+	var retries []engine.Retries
+	for i, r := range a.Routes {
+		routes = append(routes, routeOf(a.Table.Routes()[i].Name, r, classes))
+		retries = append(retries, engine.Retries{Share: r.RetryShare, Floor: r.RetryFloor})
+	}
+	plan := g.engine.NewPlan(a.Table, routes, retries, uses...)
+
+	// From here on nothing fails.
+	for i, cfg := range a.Pools {
+		p := pools[cfg.Name]
+		p.transport.Limit(int(shares[i]*float64(g.sockets*hostSockets/100)), int64(shares[i]*largeShare*float64(g.memory)))
+		if p == b.pools[cfg.Name] && !sameSource(p.cfg, cfg) {
+			p.source()
+			if err := p.follow(cfg, false); err != nil {
+				slog.Error("members not read", "pool", cfg.Name, "err", err)
+			}
+		}
+		p.cfg = cfg
+	}
+	g.server.SetLongest(longest(a))
+	g.engine.Use(plan)
+	b.pools, b.file = pools, a
+	for addr, ln := range b.listeners {
+		if listeners[addr] == nil {
+			g.server.Leave(ln)
+		}
+	}
+	b.listeners = listeners
+	for _, ln := range opened {
+		g.serve(ln)
+	}
+	return nil
+}
+
+// settings are those of a pool's module.
+func settings(p config.Pool, classes []lynxspool.Class) lynxspool.Settings {
+	return lynxspool.Settings{
+		Instances: 1, Classes: classes, MaxAttempts: 4, Cancel: true, MaxRetryAfter: retryAfterMost,
+		ColdFrom: p.Cold.From, WarmAfter: p.Cold.WarmAfter, OverloadFactor: overloadFactor, Fall: overloadTime,
+	}
+}
+
+// newPool makes a pool that has no members yet.
+func (g *Gateway) newPool(a *config.Appliance, cfg config.Pool, set lynxspool.Settings, names []string) (*boxPool, error) {
+	p := &boxPool{cfg: cfg, settings: set, transport: hosts.New(hosts.Options{}), source: func() {}, sink: new(atomic.Pointer[feed])}
+	p.ctx, p.cancel = context.WithCancel(g.ctx)
+	pc := engine.PoolConfig{
+		Name: cfg.Name, Settings: set, Seed: rand.Uint64(), Transport: p.transport,
+		Stop: p.cancel, // the source ends with it
+	}
+	if rc := g.box.recording; rc != nil {
+		own := *rc
+		if own.File != "" {
+			ext := filepath.Ext(own.File)
+			own.File = strings.TrimSuffix(own.File, ext) + "-" + cfg.Name + ext
+		}
+		pc.Recording = &engine.Recording{RecordingConfig: &own, Name: a.Name + "-" + cfg.Name, Classes: names}
+	}
+	var err error
+	if p.Pool, err = g.engine.NewPool(pc); err != nil {
+		p.cancel()
+		return nil, err
+	}
+	go p.transport.Run(p.ctx)
+	return p, nil
+}
+
+// sameSource says whether two pools have their members from the same place.
+func sameSource(p, q config.Pool) bool {
+	return p.File == q.File && p.Discovery == q.Discovery && reflect.DeepEqual(p.Members, q.Members)
+}
+
+// follow has the pool's members come from where cfg says, and nowhere else any more. With
+// must set, they have to be there; else the pool may begin with none.
+func (p *boxPool) follow(cfg config.Pool, must bool) error {
+	ctx, cancel := context.WithCancel(p.ctx)
+	f := &feed{pool: p.Pool, now: p.sink, told: make(chan struct{})}
+	p.source = cancel
+	p.sink.Store(f)
+	switch {
+	case cfg.File != "":
+		list, err := discovery.ReadFile(cfg.File)
+		if err != nil && must {
+			return err
+		}
+		if err == nil {
+			f.Members(lynxspool.ListFull, list)
+		}
+		go discovery.NewFile(cfg.File).Run(ctx, f)
+	case cfg.Discovery != "":
+		go discovery.NewWatcher(cfg.Discovery, false, 0).Run(ctx, f)
+		if must {
+			select {
+			case <-f.told:
+			case <-time.After(listWait):
+				slog.Warn("no host is told yet", "pool", cfg.Name, "discovery", cfg.Discovery)
+			}
+		}
+	default:
+		f.Members(lynxspool.ListFull, memberList(cfg.Members))
+	}
+	return nil
+}
+
+func memberList(members []config.Member) discovery.MemberList {
+	list := discovery.MemberList{Full: true}
+	for _, m := range members {
+		list.Servers = append(list.Servers, discovery.Member{
+			ID: m.ID, Addr: m.Address, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, State: "ready",
+		})
+	}
+	return list
+}
+
+// classes are those of an appliance as its modules number them: the file's in their order, and
+// behind them, of each that may be sent again, one of which nothing may.
+type classes struct {
+	list  []lynxspool.Class
+	names []string
+	index map[string]int
+	once  []int // by the number of a class of the file
+}
+
+func classesOf(a *config.Appliance) *classes {
+	c := &classes{index: map[string]int{}, once: make([]int, len(a.Classes))}
+	for i, k := range a.Classes {
+		c.list, c.names = append(c.list, k.Class), append(c.names, k.Name)
+		c.index[k.Name], c.once[i] = i, i
+	}
+	for i, k := range a.Classes {
+		if k.Effect == lynxspool.Unsafe {
+			continue
+		}
+		k.Effect, k.Window = lynxspool.Unsafe, 0
+		c.once[i] = len(c.list)
+		c.list, c.names = append(c.list, k.Class), append(c.names, k.Name+" once")
+	}
+	return c
+}
+
+// routeOf is a route of the file for the engine.
+func routeOf(name string, r config.Route, c *classes) *engine.Route {
+	out := &engine.Route{
+		Name: name, Classes: c.list, Names: c.index,
+		Judge: func(a *engine.Answer) lynxspool.Result { return route.Protocol(a.Status, unseen(a)) },
+	}
+	if r.Class == "" {
+		return out
+	}
+	i := c.index[r.Class]
+	out.Plain = &engine.Plain{Class: i, Unsafe: c.once[i], Timeout: r.Timeout, Repeatable: r.Repeatable}
+	out.PassOn = true
+	failures := r.Failures
+	out.Judge = func(a *engine.Answer) lynxspool.Result { return route.Plain(a.Status, unseen(a), failures) }
+	return out
+}
+
+// sharesOf is the part of descriptors and memory for hosts that each pool has: its own, where
+// the file says so, and of what is left as much as the others.
+func sharesOf(a *config.Appliance) []float64 {
+	shares, left, rest := make([]float64, len(a.Pools)), 1.0, 0
+	for i, p := range a.Pools {
+		shares[i] = p.Sockets
+		left -= p.Sockets
+		if p.Sockets == 0 {
+			rest++
+		}
+	}
+	for i := range shares {
+		if shares[i] == 0 {
+			shares[i] = left / float64(rest)
+		}
+	}
+	return shares
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,145 @@
+// Package gateway puts a gateway together: fronts, engine, pools with their transports, and
+// where their hosts are told, for the platform or as an appliance that stands by itself.
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/config"
+	"lynxspool/internal/discovery"
+	"lynxspool/internal/engine"
+	"lynxspool/internal/front"
+	"lynxspool/internal/front/http1"
+	hosts "lynxspool/internal/host/http1"
+	"lynxspool/internal/route"
+)
+
+// Shares of the descriptors, in hundredths. Clients hold a third of all at most for
+// their requests; each request out holds one to a host, and the more of those stay
+// idle beside, the fewer handshakes. What is left is for the listener, two watches of
+// discovery and the runtime: 25 at the least limit in service, 256.
+const (
+	clientSockets = 48
+	clientSpare   = 2
+	hostSockets   = 42
+)
+
+// largeShare is the part of the memory limit that large answers may fill, all together,
+// until their clients have them.
+const largeShare = 1.0 / 4
+
+// Gateway is one that serves. Its methods are called from one goroutine.
+type Gateway struct {
+	engine *engine.Engine
+	gate   *front.Gate
+	server *http1.Server
+	broken chan error // a listener that ended by itself
+
+	ctx    context.Context // of all that runs
+	cancel context.CancelFunc
+
+	sockets int
+	memory  int64
+
+	watcher *discovery.Watcher // of the platform
+	box     *box               // of an appliance
+}
+
+// newGateway makes one that has no pool yet.
+func newGateway(seed uint64, sockets int, memory int64, longest time.Duration) *Gateway {
+	g := &Gateway{engine: engine.New(seed), broken: make(chan error, 1), sockets: sockets, memory: memory}
+	g.gate = front.NewGate(g.engine, memory)
+	g.server = http1.New(g.gate, http1.Options{
+		Sockets: sockets * clientSockets / 100,
+		Spare:   sockets*(clientSockets+clientSpare)/100 - sockets*clientSockets/100,
+		Longest: longest,
+	})
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	return g
+}
+
+// serve takes requests from ln.
+func (g *Gateway) serve(ln net.Listener) {
+	go func() {
+		if err := g.server.Serve(ln); err != nil {
+			select {
+			case g.broken <- fmt.Errorf("listen: %s: %w", ln.Addr(), err):
+			default: // another has said so
+			}
+		}
+	}()
+}
+
+// Broken tells of a listener that has ended by itself.
+func (g *Gateway) Broken() <-chan error { return g.broken }
+
+// Dump has what the flight recorder holds written out.
+func (g *Gateway) Dump() { g.engine.Dump() }
+
+// Stop ends service in order: all that was taken is answered. It waits for what is recorded
+// to be written, for so long at most.
+func (g *Gateway) Stop(recorded time.Duration) {
+	g.server.Stop()
+	g.cancel()
+	g.engine.Wait(recorded)
+}
+
+// Close ends it all at once.
+func (g *Gateway) Close() {
+	g.server.Close()
+	g.cancel()
+	g.engine.Wait(time.Minute)
+}
+
+// StartPlatform serves on ln as the platform says.
+func StartPlatform(cfg *config.Platform, rc *engine.RecordingConfig, ln net.Listener) (*Gateway, error) {
+	longest := time.Duration(0)
+	for _, c := range cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), longest)
+	transport := hosts.New(hosts.Options{
+		Sockets: cfg.Sockets * hostSockets / 100, Memory: int64(largeShare * float64(cfg.Memory())),
+		ConnIdle: cfg.ConnIdle, DialTimeout: cfg.DialTimeout,
+	})
+	g.watcher = discovery.NewWatcher(cfg.Discovery, cfg.Settings.Ask, cfg.Known.Version)
+	pc := engine.PoolConfig{
+		Settings: cfg.Settings, Seed: cfg.Seed, Zones: cfg.Zones, Kinds: cfg.Kinds, Transport: transport, Watch: g.watcher.Watch,
+	}
+	if rc != nil {
+		classes := make([]string, len(cfg.Classes))
+		for name, i := range cfg.Classes {
+			classes[i] = name
+		}
+		pc.Recording = &engine.Recording{RecordingConfig: rc, Name: cfg.Name, Classes: classes}
+	}
+	pool, err := g.engine.NewPool(pc)
+	if err != nil {
+		g.cancel()
+		return nil, err
+	}
+	go transport.Run(g.ctx)
+	go g.engine.Run(g.ctx)
+	pool.Members(lynxspool.ListSaved, cfg.Known)
+	g.engine.Use(g.engine.NewPlan(nil, []*engine.Route{{
+		Classes: cfg.Settings.Classes, Names: cfg.Classes, Tenants: cfg.Tenants,
+		Judge: func(a *engine.Answer) lynxspool.Result { return route.Protocol(a.Status, unseen(a)) },
+	}}, nil, engine.PoolUse{Pool: pool, Need: 1}))
+	go g.watcher.Run(g.ctx, pool)
+	g.serve(ln)
+	return g, nil
+}
+
+// Move has the list of hosts come from another address.
+func (g *Gateway) Move(addr string) { g.watcher.Move(addr) }
+
+// unseen says whether a host proves to have turned a request away unseen.
+func unseen(a *engine.Answer) bool { return a.Header.Get("X-Not-Processed") == "1" }
+
+// memoryOf is the limit in bytes.
+func memoryOf(mb int) int64 { return int64(cmp.Or(mb, config.DefaultMemoryMB)) << 20 }
--- a/internal/gateway/hosts.go
+++ b/internal/host/http1/transport.go
@@ -1,4 +1,5 @@
-package gateway
+// Package http1 makes attempts at hosts by HTTP/1.1, and keeps the connections to them.
+package http1
 
 import (
 	"bufio"
@@ -20,6 +21,8 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/body"
+	"lynxspool/internal/engine"
 )
 
 const (
@@ -35,9 +38,6 @@
 	// unheardLeast is how long a host must have answered nothing for its idle connections
 	// to be closed: several times what most answers take.
 	unheardLeast = 250 * time.Millisecond
-	// largeShare is the part of the memory limit that answers beyond maxBody may fill, all
-	// together, until their clients have them.
-	largeShare = 1.0 / 4
 	// answerTime is for an answer to come whole once it has begun. Hosts write theirs at
 	// once; a lost segment is sent again after some 200 ms.
 	answerTime = 250 * time.Millisecond
@@ -45,48 +45,65 @@
 	headNotProcessed = "X-Not-Processed" // "1" proves that the attempt never ran
 )
 
-// Headers of requests, as net/http spells them.
-const (
-	headID      = "X-Request-Id"
-	headClass   = "X-Priority-Class"
-	headTenant  = "X-Tenant-Id"
-	headTimeout = "X-Timeout"
-	headRetried = "X-Retried"
-	headKey     = "Idempotency-Key"
-)
+// headTimeout tells a host how long we wait, in seconds, as net/http spells it.
+const headTimeout = "X-Timeout"
+
+// Options are what a Transport is told. The zero value of each but Sockets and Memory stands
+// for its default.
+type Options struct {
+	Sockets     int           // connections at most, all hosts together
+	Memory      int64         // bytes that answers beyond maxBody may hold, all together
+	ConnIdle    time.Duration // a host closes a connection that was idle this long
+	DialTimeout time.Duration // a connection that is not up by then has failed
+}
+
+// DefaultConnIdle is shorter than what common servers keep an idle connection for.
+const DefaultConnIdle = time.Minute
 
-// Pool makes the attempts and keeps the connections to all hosts. http.Transport
+// Transport makes the attempts and keeps the connections to all hosts of a pool. http.Transport
 // would not do: it sends requests again by itself and dials more connections than
 // it is asked for. Here an attempt writes its request whole once at most.
-type Pool struct {
+type Transport struct {
 	dialer  net.Dialer
 	maxIdle time.Duration
-	budget  int // connections at most, all hosts together
+	budget  int
 
 	unheardLeast time.Duration
 
 	large    atomic.Int64 // bytes of answers beyond maxBody that are held
-	largeMax int64
+	largeMax atomic.Int64
 
-	mu   sync.Mutex
-	open int               // connections, in use, idle and being dialled
-	idle map[*host][]*conn // the one idle longest first
+	mu     sync.Mutex
+	open   int               // connections, in use, idle and being dialled
+	idle   map[*host][]*conn // the one idle longest first
+	closed bool              // Run has ended: nothing is kept
 }
 
-// host is where attempts go. The loop creates it and updates it through the Pool;
-// Pool.mu guards addr, started and heard.
+// host is where attempts go. Transport.mu guards addr, started and heard.
 type host struct {
-	id      string
-	zone    string // zone and kind are the loop's
-	kind    string
+	t       *Transport
 	usable  atomic.Bool // it takes new requests: not so when draining or gone
 	addr    string
 	started int64     // no connection outlives the process it was made to
 	heard   time.Time // last whole answer
 }
 
+// Host makes an Endpoint; it can be used once Update has named an address.
+func (p *Transport) Host(string) engine.Endpoint { return &host{t: p} }
+
+// Update takes over what the list says of a host.
+func (h *host) Update(addr string, started int64, usable bool) { h.t.update(h, addr, started, usable) }
+
+// CloseIdle closes the idle connections to the host.
+func (h *host) CloseIdle() { h.t.closeIdle(h) }
+
+// Attempt sends a request once at most.
+func (h *host) Attempt(ctx context.Context, x *engine.Request) engine.Result {
+	return h.t.attempt(ctx, h, x)
+}
+
 // conn is a connection to a host. It belongs to one attempt or, while idle, to the
-// Pool.
+// Transport.
 type conn struct {
 	net.Conn
 	host    *host
@@ -99,27 +116,38 @@
 	idleAt  time.Time
 }
 
-// NewPool returns a Pool that keeps to the limits of cfg.
-func NewPool(cfg *Config) *Pool {
-	return &Pool{
-		dialer:  net.Dialer{Timeout: min(cfg.DialTimeout, connectTime)},
-		maxIdle: time.Duration(idleShare * float64(cfg.ConnIdle)),
-		budget:  cfg.Sockets * hostSockets / 100,
+// New returns a Transport.
+func New(o Options) *Transport {
+	p := &Transport{
+		dialer:  net.Dialer{Timeout: min(cmp.Or(o.DialTimeout, connectTime), connectTime)},
+		maxIdle: time.Duration(idleShare * float64(cmp.Or(o.ConnIdle, DefaultConnIdle))),
+		budget:  o.Sockets,
 
 		unheardLeast: unheardLeast,
 
-		largeMax: int64(largeShare * float64(cfg.memory())),
-		idle:     map[*host][]*conn{},
+		idle: map[*host][]*conn{},
 	}
+	p.largeMax.Store(o.Memory)
+	return p
+}
+
+// Limit sets how many connections may be open, and the bytes that large answers may hold.
+func (p *Transport) Limit(sockets int, memory int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget = sockets
+	p.largeMax.Store(memory)
 }
 
-// Run closes idle connections that hosts have closed or soon will, until ctx ends.
-func (p *Pool) Run(ctx context.Context) {
+// Run closes idle connections that hosts have closed or soon will, until ctx ends; then all
+// of them.
+func (p *Transport) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			p.end()
 			return
 		case <-tick.C:
 			p.sweep()
@@ -127,7 +155,7 @@
 	}
 }
 
-func (p *Pool) sweep() {
+func (p *Transport) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for h, list := range p.idle {
@@ -148,9 +176,22 @@
 	}
 }
 
+// end closes what is idle, and has what is still in use closed behind its attempt.
+func (p *Transport) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for h, list := range p.idle {
+		for _, c := range list {
+			p.close(c)
+		}
+		delete(p.idle, h)
+	}
+}
+
 // update takes over what the list says of a host. Idle connections to one that
 // takes nothing new, that has moved or that was started anew are of no more use.
-func (p *Pool) update(h *host, addr string, started int64, usable bool) {
+func (p *Transport) update(h *host, addr string, started int64, usable bool) {
 	p.mu.Lock()
 	h.usable.Store(usable)
 	stale := !usable || h.addr != addr || h.started != started
@@ -165,7 +206,7 @@
 // has answered nothing since, its idle connections may be half-dead: a machine that has vanished leaves
 // them open and silent, and what is written there may have run for all we know. A dial
 // fails soon, which proves that nothing ran.
-func (p *Pool) unheard(h *host, wrote time.Time) {
+func (p *Transport) unheard(h *host, wrote time.Time) {
 	if time.Since(wrote) < p.unheardLeast {
 		return // a client has left: that tells nothing of the host
 	}
@@ -178,7 +219,7 @@
 }
 
 // closeIdle closes the idle connections to a host.
-func (p *Pool) closeIdle(h *host) {
+func (p *Transport) closeIdle(h *host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[h] {
@@ -188,24 +229,24 @@
 }
 
 // close closes a connection; p.mu is held.
-func (p *Pool) close(c *conn) {
+func (p *Transport) close(c *conn) {
 	c.Conn.Close()
 	p.open--
 }
 
 // drop closes a connection that an attempt is done with.
-func (p *Pool) drop(c *conn) {
+func (p *Transport) drop(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.close(c)
 }
 
 // put keeps a connection for the next attempt.
-func (p *Pool) put(c *conn) {
+func (p *Transport) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := c.host
-	if !h.usable.Load() || c.addr != h.addr || c.started != h.started {
+	if p.closed || !h.usable.Load() || c.addr != h.addr || c.started != h.started {
 		p.close(c)
 		return
 	}
@@ -219,7 +260,7 @@
 // guards against hosts that end a connection some milliseconds behind an answer: what is
 // written meanwhile fails, and may have run. By its turn the end of such a one has come.
 // The dial is counted before it is made, so that the budget holds.
-func (p *Pool) get(ctx context.Context, h *host) (*conn, error) {
+func (p *Transport) get(ctx context.Context, h *host) (*conn, error) {
 	p.mu.Lock()
 	for list := p.idle[h]; len(list) > 0; list = p.idle[h] {
 		c := list[0]
@@ -256,7 +297,7 @@
 
 // closeColdest makes room by closing the connection that was idle longest; p.mu is
 // held.
-func (p *Pool) closeColdest() bool {
+func (p *Transport) closeColdest() bool {
 	var coldest *conn
 	for _, list := range p.idle {
 		if len(list) > 0 && (coldest == nil || list[0].idleAt.Before(coldest.idleAt)) {
@@ -294,7 +335,7 @@
 
 // attempt sends a request to a host once and says how that ended. ctx ends when the
 // attempt is to be given up, by its deadline or by being called off.
-func (p *Pool) attempt(ctx context.Context, h *host, x *exchange) (lynxspool.Result, answer) {
+func (p *Transport) attempt(ctx context.Context, h *host, x *engine.Request) engine.Result {
 	for {
 		c, err := p.get(ctx, h)
 		switch {
@@ -302,26 +343,26 @@
 			if err == nil {
 				p.put(c) // nothing was written to it
 			}
-			return unsent(ctx), answer{}
+			return engine.Ended(unsent(ctx))
 		case err == errNoSockets || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
-			return lynxspool.NotSent, answer{} // the want is ours, not the host's
+			return engine.Ended(lynxspool.NotSent) // the want is ours, not the host's
 		case err != nil:
-			return lynxspool.ConnectFailed, answer{}
+			return engine.Ended(lynxspool.ConnectFailed)
 		}
 		// The dial may have taken long: look again whether the request may go out. It
 		// guards against sending to a host that drains by now, or what has its answer.
-		if x.over.Load() || !h.usable.Load() {
+		if x.Over() || !h.usable.Load() {
 			p.put(c)
-			return lynxspool.NotSent, answer{}
+			return engine.Ended(lynxspool.NotSent)
 		}
 		reused := c.reused
-		result, a := p.exchange(ctx, c, x)
-		if result == lynxspool.ConnectFailed && reused && ctx.Err() == nil {
+		r := p.exchange(ctx, c, x)
+		if !r.Answered && r.Outcome == lynxspool.ConnectFailed && reused && ctx.Err() == nil {
 			// It closed after the look and before the last byte: nothing ran, and
 			// that tells nothing of the host. Each round uses up one idle connection.
 			continue
 		}
-		return result, a
+		return r
 	}
 }
 
@@ -335,7 +376,7 @@
 
 // exchange writes the request to the connection and reads its answer. The last byte
 // goes out by the one Write: what fails before that never ran, after it it may have.
-func (p *Pool) exchange(ctx context.Context, c *conn, x *exchange) (lynxspool.Result, answer) {
+func (p *Transport) exchange(ctx context.Context, c *conn, x *engine.Request) engine.Result {
 	// Giving up an attempt is closing its connection.
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	keep := false
@@ -346,18 +387,18 @@
 			p.drop(c)
 		}
 	}()
-	out := x.encode()
+	out := encode(x)
 	if n, err := c.Write(out); n < len(out) || err != nil {
 		switch {
 		case n == len(out):
-			return lynxspool.Reset, answer{}
+			return engine.Ended(lynxspool.Reset)
 		case ctx.Err() != nil:
-			return unsent(ctx), answer{}
+			return engine.Ended(unsent(ctx))
 		}
-		return lynxspool.ConnectFailed, answer{}
+		return engine.Ended(lynxspool.ConnectFailed)
 	}
 	wrote := time.Now()
-	status, a, keep, err := c.read(p)
+	a, keep, err := c.read(p, x.Method)
 	if err != nil && ctx.Err() != nil {
 		p.unheard(c.host, wrote)
 	}
@@ -367,24 +408,15 @@
 		c.host.heard = time.Now()
 		p.mu.Unlock()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return lynxspool.TimedOut, answer{}
+		return engine.Ended(lynxspool.TimedOut)
 	case ctx.Err() != nil:
-		return lynxspool.Canceled, answer{}
+		return engine.Ended(lynxspool.Canceled)
 	case errors.Is(err, errSpoilt):
-		return lynxspool.Spoilt, answer{}
+		return engine.Ended(lynxspool.Spoilt)
 	default:
-		return lynxspool.Reset, answer{}
-	}
-	if status == http.StatusOK {
-		return lynxspool.OK, a
+		return engine.Ended(lynxspool.Reset)
 	}
-	p.release(a)
-	switch {
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
-		a.header.Get(headNotProcessed) == "1":
-		return lynxspool.Full, answer{}
-	}
-	return lynxspool.Failed, answer{}
+	return engine.Result{Answered: true, Answer: a}
 }
 
 var errSpoilt = errors.New("gateway: the answer is spoilt")
@@ -392,35 +424,36 @@
 // read reads one whole answer and says whether the connection can carry another
 // request. What comes but is no answer that is sure to be whole is errSpoilt, at once
 // where it can be told: it guards clients against being served with what no host made.
-func (c *conn) read(p *Pool) (status int, a answer, keep bool, err error) {
+func (c *conn) read(p *Transport, method string) (a engine.Answer, keep bool, err error) {
 	began := false
 	defer func() {
 		// Where the connection ends within an answer the host has gone; where it stays
 		// open and no answer comes of what it brings, that is all there will be.
 		if err != nil {
-			p.release(a)
+			a.Release()
 		}
 		if began && (c.limit.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
 			err = errSpoilt
 		}
 	}()
 	var proto string
+	var status int
 	var header http.Header
 	for {
 		c.limit.N = maxHead
 		first, err := c.in.Peek(1)
 		if err != nil {
-			return 0, a, false, err
+			return a, false, err
 		}
 		began = true
 		c.SetReadDeadline(time.Now().Add(answerTime))
 		// Noise may lack a line's end: it need not be waited for.
 		first, _ = c.in.Peek(min(c.in.Buffered(), len(protoPrefix)))
 		if !strings.HasPrefix(protoPrefix, string(first)) {
-			return 0, a, false, errSpoilt
+			return a, false, errSpoilt
 		}
 		if proto, status, header, err = c.readHead(); err != nil {
-			return 0, a, false, err
+			return a, false, err
 		}
 		c.SetReadDeadline(time.Time{})
 		if status >= 200 {
@@ -430,41 +463,47 @@
 	}
 	c.SetReadDeadline(time.Now().Add(answerTime))
 	c.limit.N = maxAnswer + maxHead
-	if a.held, err = p.hold(header); err != nil {
-		return 0, a, false, err
-	}
-	if a.body, err = c.readBody(status, header); err != nil {
-		return 0, a, false, err
+	if !bodyless(method, status) {
+		if a.Free, err = p.hold(header); err != nil {
+			return a, false, err
+		}
+		text, err := c.readBody(header)
+		if err != nil {
+			return a, false, err
+		}
+		a.Body = body.Held(text)
 	}
 	c.SetReadDeadline(time.Time{})
 	// What comes behind a whole answer is not part of it: traced, it was a second copy
 	// or noise where the one length fitted, and lengths that did not fit were
 	// contradictory, beyond all bounds or broken chunks. The connection is of no use then.
 	keep = c.in.Buffered() == 0 && proto == "HTTP/1.1" && !strings.Contains(strings.ToLower(header.Get("Connection")), "close")
-	a.kind, a.header = served, header
-	return status, a, keep, nil
+	a.Kind, a.Status, a.Header = engine.Served, status, header
+	return a, keep, nil
+}
+
+// bodyless says whether an answer has no body, whatever its headers say (RFC 9112, 6.3).
+func bodyless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
 // hold takes leave for an answer that announces more than maxBody. It guards the memory
-// limit; release gives back what was held.
-func (p *Pool) hold(header http.Header) (int64, error) {
+// limit; what is returned gives back what was held, nil if that is nothing.
+func (p *Transport) hold(header http.Header) (free func(), err error) {
 	length := header.Get("Content-Length")
 	n, err := strconv.ParseUint(length, 10, 63)
 	switch {
 	case length == "" || err == nil && n <= maxBody:
-		return 0, nil
+		return nil, nil
 	case err != nil || n > maxAnswer:
-		return 0, errSpoilt
-	case p.large.Add(int64(n)) > p.largeMax:
+		return nil, errSpoilt
+	case p.large.Add(int64(n)) > p.largeMax.Load():
 		p.large.Add(-int64(n))
-		return 0, errSpoilt // for want of room it is of no use to us
+		return nil, errSpoilt // for want of room it is of no use to us
 	}
-	return int64(n), nil
+	return func() { p.large.Add(-int64(n)) }, nil
 }
 
-// release is told of each answer that is not needed any more.
-func (p *Pool) release(a answer) { p.large.Add(-a.held) }
-
 const protoPrefix = "HTTP/1."
 
 // readHead reads a status line and the headers. net/http's own reader would not do: it
@@ -490,7 +529,7 @@
 }
 
 // readBody reads the body as the headers frame it; two that disagree frame nothing.
-func (c *conn) readBody(status int, header http.Header) ([]byte, error) {
+func (c *conn) readBody(header http.Header) ([]byte, error) {
 	lengths, encodings := header["Content-Length"], header["Transfer-Encoding"]
 	switch {
 	case len(lengths)+len(encodings) > 1:
@@ -518,57 +557,40 @@
 			return nil, cmp.Or(err, errSpoilt)
 		}
 		return body, nil
-	case status == http.StatusNoContent || status == http.StatusNotModified:
-		return nil, nil
 	}
 	return nil, errSpoilt // nothing would tell a whole body from a cut one
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
-// endToEnd takes out the headers that are not passed on.
-func endToEnd(h http.Header) http.Header {
-	for _, v := range h["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(h, name)
-	}
-	return h
-}
-
 // encode is the request as it goes to a host, with the time left as of now. The path
 // and query are put out just as they came.
-func (x *exchange) encode() []byte {
-	uri := x.uri
-	if !strings.HasPrefix(uri, "/") {
-		uri = x.url.RequestURI() // it came with a host's name
-	}
-	left := max(0, time.Until(x.deadline))
+func encode(x *engine.Request) []byte {
 	var buf bytes.Buffer
-	buf.Grow(encodedHead + len(x.body))
-	for _, s := range []string{x.method, " ", uri, " HTTP/1.1\r\nHost: ", x.host, "\r\n"} {
+	buf.Grow(encodedHead + int(x.Body.Len()))
+	for _, s := range []string{x.Method, " ", x.Target, " HTTP/1.1\r\nHost: ", x.Host, "\r\n"} {
 		buf.WriteString(s)
 	}
-	x.header.Write(&buf) // to a Buffer, which takes all
+	x.Header.Write(&buf) // to a Buffer, which takes all
 	b := buf.AvailableBuffer()
 	b = append(b, headTimeout+": "...)
-	b = strconv.AppendFloat(b, left.Seconds(), 'f', 3, 64)
-	if len(x.body) > 0 || x.method != http.MethodGet {
+	b = strconv.AppendFloat(b, x.Left().Seconds(), 'f', 3, 64)
+	if n := x.Body.Len(); n > 0 || !bare(x.Method) {
 		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, int64(len(x.body)), 10)
+		b = strconv.AppendInt(b, n, 10)
 	}
 	b = append(b, "\r\n\r\n"...)
 	buf.Write(b)
-	buf.Write(x.body)
+	buf.Write(x.Body.Bytes())
 	return buf.Bytes()
 }
 
+// bare says whether a request of the method has no length where it has no body (RFC 9110, 8.6).
+func bare(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // encodedHead is room for the head of most requests.
 const encodedHead = 512
--- a/internal/route/fallback.go
+++ b/internal/route/fallback.go
@@ -16,6 +16,12 @@
 	// returnTime is in what time a pool that had nothing is given all of its traffic again.
 	// Hosts that come back are cold.
 	returnTime = 10 * time.Second
+	// trialEvery is how often a pool that gets nothing, as none of its hosts can be used, is
+	// sent one request: without any it would not be seen that they are back.
+	trialEvery = 250 * time.Millisecond
+	// trialAny is how long such a request should be one that may run again; from then on any
+	// will do, as there may be no other.
+	trialAny = 5 * time.Second
 )
 
 // Chain is a pool and the pools that stand in for it, in their order. It decides how much
@@ -41,6 +47,8 @@
 	risesAt Time    // c may rise from then on
 	at      Time    // of carries
 	known   bool
+	hosts   int
+	trialAt Time // the next trial
 }
 
 // NewChain returns a Chain of pools with these needs, each above 0 and up to 1.
@@ -70,7 +78,40 @@
 	if goal < l.goal || goal > l.goal && l.goal <= l.carries {
 		l.risesAt = now + settleTime
 	}
-	l.goal = goal
+	if goal <= 0 && (l.goal > 0 || hosts > 0 && l.hosts == 0) {
+		l.trialAt = now + trialEvery
+	}
+	l.goal, l.hosts = goal, hosts
+}
+
+// Trial says whether a request is to go to a pool that gets nothing by its share, to see
+// whether its hosts are back. safe says that it may be sent again, whatever becomes of it.
+func (c *Chain) Trial(now Time, safe bool) (pool int, ok bool) {
+	left := 1.0
+	for i := range c.levels {
+		l := &c.levels[i]
+		l.advance(now)
+		if l.goal <= 0 && l.hosts > 0 && now >= l.trialAt && (safe || now-l.trialAt >= trialAny) {
+			l.trialAt = now + trialEvery
+			return i, true
+		}
+		if left -= l.carries; left <= 0 {
+			break
+		}
+	}
+	return 0, false
+}
+
+// Next is the pool that a request may go on to from a pool that turned it away: the next
+// behind it that gets anything, or any other such pool for one that was a trial.
+func (c *Chain) Next(now Time, from int, trial bool) (pool int, ok bool) {
+	for i := range c.levels {
+		l := &c.levels[i]
+		if l.advance(now); l.carries > 0 && (i > from || trial && i != from) {
+			return i, true
+		}
+	}
+	return 0, false
 }
 
 // advance lets what a pool carries rise up to now.
--- /dev/null
+++ b/internal/route/judge.go
@@ -0,0 +1,35 @@
+package route
+
+import (
+	"slices"
+
+	"lynxspool"
+)
+
+// DefaultFailures are the statuses of a host's answer that tell the module of a failure, where
+// a route says nothing else: those by which a server says that it, or what it asks, can't.
+var DefaultFailures = []int{429, 500, 502, 503, 504}
+
+// Protocol is what an answer of a host that keeps to our protocol tells the module. unseen
+// says that the host proves to have turned the request away unseen (X-Not-Processed: 1).
+func Protocol(status int, unseen bool) lynxspool.Result {
+	switch {
+	case status == 200:
+		return lynxspool.OK
+	case unseen && (status == 503 || status == 504):
+		return lynxspool.Full
+	}
+	return lynxspool.Failed
+}
+
+// Plain is what an answer of any HTTP server tells the module: all but the failures is an
+// answer for the client, whatever its status.
+func Plain(status int, unseen bool, failures []int) lynxspool.Result {
+	switch {
+	case unseen && (status == 503 || status == 504):
+		return lynxspool.Full
+	case slices.Contains(failures, status):
+		return lynxspool.Failed
+	}
+	return lynxspool.OK
+}
--- a/view.go
+++ b/view.go
@@ -78,3 +78,7 @@
 	}
 	return dst
 }
+
+// Usable is how many of the hosts that this Balancer draws from are ready and not ejected, and
+// how many are ready. It costs the same however many there are.
+func (b *Balancer) Usable() (usable, ready int) { return b.tally.listed - b.tally.out, b.tally.listed }
