--- a/checkpoint.go
+++ b/checkpoint.go
@@ -231,6 +231,7 @@
 		return
 	}
 	for _, h := range b.hosts {
+		h.counted.failing = h.counted.listed && h.fails > 0 // it follows from what is kept
 		b.tally.add(h.counted, 1)
 		for i := range h.class {
 			if h.class[i].shuns {
--- a/checkpoint_test.go
+++ b/checkpoint_test.go
@@ -90,7 +90,7 @@
 		reflect.TypeFor[attempt]():  "req host sent ended result trial later recall doubted | link",
 		reflect.TypeFor[failing]():  "share at fails outAt until shuns |",
 		reflect.TypeFor[rate]():     "rate at | seenAt seen",
-		reflect.TypeFor[standing](): "listed used out broken |",
+		reflect.TypeFor[standing](): "listed used out broken | failing",
 		reflect.TypeFor[mean]():     "mean dev seen n at |",
 		reflect.TypeFor[bucket]():   "tokens at | rate",
 		reflect.TypeFor[Host]():     "ID Zone Cell Kind State Started |",
@@ -113,7 +113,24 @@
 
 func TestViews(t *testing.T) {
 	g := start(t, basic(), hosts(3)...)
+	g.b.redraw()
+	if usable, ready := g.b.Usable(); usable != 3 || ready != 3 {
+		t.Errorf("%d of %d can be used", usable, ready)
+	}
 	g.b.eject(g.b.byID[1], CauseSilent)
+	g.b.recheck(g.b.byID[1])
+	// It counts until it has answered, also beyond its ejection.
+	g.b.now = g.b.byID[1].ejectUntil + 1
+	g.b.recheck(g.b.byID[1])
+	if usable, ready := g.b.Usable(); usable != 2 || ready != 3 {
+		t.Errorf("after an ejection %d of %d can be used", usable, ready)
+	}
+	if back, err := Restore(g.b.set, g.b.Checkpoint(nil)); err != nil {
+		t.Error(err)
+	} else if usable, ready := back.Usable(); usable != 2 || ready != 3 {
+		t.Errorf("restored, %d of %d can be used", usable, ready)
+	}
+	g.b.now = g.now
 	g.b.byID[2].restUntil = g.now + ms
 	views := g.b.Views(nil)
 	var held []string
--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -83,6 +83,12 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return startAs(t, path, listen, args...)
+}
+
+// startAs runs the program with the configuration at a path.
+func startAs(t *testing.T, path, listen string, args ...string) *program {
+	t.Helper()
 	p := &program{Cmd: exec.Command(os.Args[0], args...), url: "http://" + listen, config: path, exited: make(chan struct{})}
 	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN="+listen, "GW_DISCOVERY="+unusedAddr)
 	p.Stdout, p.Stderr = &p.out, &p.out
--- a/cmd/dunemoorctl/appliance.go
+++ b/cmd/dunemoorctl/appliance.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -38,6 +39,9 @@
 	for _, err := range wrong {
 		fmt.Fprintln(cmd.ErrOrStderr(), err)
 	}
+	if len(wrong) == 1 {
+		return nil, fmt.Errorf("%s: 1 mistake", path)
+	}
 	return nil, fmt.Errorf("%s: %d mistakes", path, len(wrong))
 }
 
@@ -45,7 +49,7 @@
 	var headers []string
 	cmd := &cobra.Command{
 		Use: "routes FILE METHOD URL", Args: cobra.ExactArgs(3),
-		Short: "Say which route and pool a request would take, and why",
+		Short: "Say which route and pool a request would take, and why; exit code 1 if none does",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			a, err := load(cmd, args[0])
 			if err != nil {
@@ -75,8 +79,7 @@
 	out := cmd.OutOrStdout()
 	host, path, err := route.Target(target, hostHeader)
 	if err != nil {
-		fmt.Fprintf(out, "answered 400: %v\n", err)
-		return nil
+		return fmt.Errorf("answered 400: %w", err)
 	}
 	r := a.Table.Match(&route.Request{Host: host, Path: path, Method: method, Header: func(name string) (string, bool) {
 		v := h.Values(name)
@@ -84,8 +87,7 @@
 	}})
 	fmt.Fprintf(out, "%s %s%s, as it is matched\n", method, host, path)
 	if r == nil {
-		fmt.Fprintln(out, "answered 404: no route takes it")
-		return nil
+		return errors.New("answered 404: no route takes it")
 	}
 	var why []string
 	if len(r.Hosts) > 0 {
@@ -105,7 +107,7 @@
 	fmt.Fprintf(out, "route %q, line %d: %s\n", r.Name, r.Line, strings.Join(why, ", "))
 	own := a.Routes[r.Index]
 	if own.Class != "" {
-		fmt.Fprintf(out, "class %s, %v, unless the request says otherwise\n", own.Class, own.Timeout)
+		fmt.Fprintf(out, "class %s, %v; any answer of a host is passed on, %v count as failures\n", own.Class, own.Timeout, own.Failures)
 	} else {
 		fmt.Fprintln(out, "class and time as the request says")
 	}
--- a/cmd/dunemoorctl/main_test.go
+++ b/cmd/dunemoorctl/main_test.go
@@ -119,8 +119,10 @@
 		{[]string{"GET", "http://any/a%2Fb"}, []string{"answered 400: the path"}},
 	} {
 		out, err := ctl(append([]string{"routes", example}, c.args...)...)
-		if err != nil {
-			t.Errorf("%q: %v", c.args, err)
+		if answered := strings.HasPrefix(c.want[0], "answered"); answered != (err != nil) {
+			t.Errorf("%q: %v", c.args, err) // scripts go by it
+		} else if answered {
+			out += err.Error()
 		}
 		for _, want := range c.want {
 			if !strings.Contains(out, want) {
@@ -145,7 +147,7 @@
 		t.Fatal(err)
 	}
 	out, err := ctl("check", bad)
-	if err == nil || !strings.Contains(err.Error(), "mistakes") || strings.Count(out, bad+":") != 3 {
+	if err == nil || !strings.Contains(err.Error(), ": 3 mistakes") || strings.Count(out, bad+":") != 3 {
 		t.Errorf("%v, printed %s", err, out)
 	}
 	for args, want := range map[string]string{
--- /dev/null
+++ b/cmd/standin/appliance.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"lynxspool"
+	"lynxspool/internal/config"
+	"lynxspool/internal/standin"
+)
+
+// standFor starts a node for each member that an appliance's file lists, and makes classes of
+// requests by its routes. listen becomes the address of the first listener.
+func standFor(path string, seed uint64, b standin.Behaviour, listen *string) (*standin.Fleet, []standin.Class, error) {
+	a, wrong := config.LoadAppliance(path)
+	if len(wrong) > 0 {
+		return nil, nil, errors.Join(wrong...)
+	}
+	*listen = a.Listeners[0].Address
+	fleet := standin.NewFleet(standin.NewLedger())
+	for _, p := range a.Pools {
+		for i, m := range p.Members {
+			n, err := standin.StartNodeAt(m.Address, m.ID, fmt.Sprint(p.Name, m.Cell), fleet.Ledger, seed+uint64(i), b)
+			if err != nil {
+				fleet.Close()
+				return nil, nil, err
+			}
+			fleet.Nodes = append(fleet.Nodes, n)
+		}
+	}
+	if len(fleet.Nodes) == 0 {
+		return nil, nil, fmt.Errorf("%s: no pool has members of its own", path)
+	}
+	var classes []standin.Class
+	for i, r := range a.Table.Routes() {
+		own := a.Routes[i]
+		host := ""
+		if len(r.Hosts) > 0 {
+			host = strings.Replace(r.Hosts[0], "*", "any", 1)
+		}
+		if own.Class != "" {
+			classes = append(classes, standin.Class{
+				Name: r.Name, Share: 1, Timeout: own.Timeout, Path: r.Path, Host: host, Plain: true,
+			})
+			continue
+		}
+		for _, c := range a.Classes {
+			effect := map[lynxspool.Effect]standin.Effect{
+				lynxspool.Safe: standin.Safe, lynxspool.Keyed: standin.Keyed, lynxspool.Unsafe: standin.Unsafe,
+			}[c.Effect]
+			classes = append(classes, standin.Class{
+				Name: r.Name + "/" + c.Name, Says: c.Name, Effect: effect, Share: 1, Timeout: c.Deadline, Window: c.Window,
+				Path: r.Path, Host: host, Body: "something to do",
+			})
+		}
+	}
+	return fleet, classes, nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,6 +36,7 @@
 
 var modes = map[string]standin.Mode{
 	"full": standin.Full, "errors": standin.Errors, "hang": standin.Hang, "reset": standin.ResetAt, "close": standin.CloseAt,
+	"silent": standin.Silent,
 }
 
 // parseFaults reads "crash:0@3s+4s,hang:2@8s+2s".
@@ -47,7 +48,7 @@
 		f := fault{mode: mode}
 		_, known := modes[mode]
 		if !ok1 || !ok2 || !ok3 || !known && mode != "crash" && mode != "drain" {
-			return nil, fmt.Errorf("-fault: %q is not like \"crash:0@3s+4s\"; kinds: crash, drain, full, errors, hang, reset, close", s)
+			return nil, fmt.Errorf("-fault: %q is not like \"crash:0@3s+4s\"; kinds: crash, silent, drain, full, errors, hang, reset, close", s)
 		}
 		if f.node, err = strconv.Atoi(node); err != nil || f.node < 0 || f.node >= nodes {
 			return nil, fmt.Errorf("-fault: %q: node %q is not from 0 to %d", s, node, nodes-1)
@@ -68,9 +69,11 @@
 	nodes := flags.Int("nodes", 6, "nodes, 1 to 64")
 	rate := flags.Float64("rate", 100, "requests a second")
 	count := flags.Int("count", 2000, "requests in all")
+	cores := flags.Int("cores", 4, "requests that a node works on at once")
 	work := flags.Duration("work", 20*time.Millisecond, "mean work of a request")
 	listen := flags.String("gateway", "127.0.0.1:9000", "where the gateway listens or will")
 	config := flags.String("config", "", "write the gateway's configuration to this `file`")
+	box := flags.String("appliance", "", "stand in for the members of the pools in this appliance's `file`, and ask by its routes")
 	wait := flags.Duration("wait", time.Minute, "how long the gateway may take to get ready")
 	faults := flags.String("fault", "", "what goes wrong, like \"crash:0@3s+4s,hang:2@8s+2s\"")
 	seed := flags.Uint64("seed", 1, "of work and arrivals")
@@ -80,18 +83,27 @@
 	if *nodes < 1 || *nodes > 64 {
 		return fmt.Errorf("-nodes: %d is not from 1 to 64", *nodes)
 	}
-	list, err := parseFaults(*faults, *nodes)
+	healthy := standin.Behaviour{Work: *work, Cores: *cores, Cold: 3 * time.Second, ColdFrom: 0.4}
+	var fleet *standin.Fleet
+	classes := standin.Classes()
+	var err error
+	if *box != "" {
+		fleet, classes, err = standFor(*box, *seed, healthy, listen)
+	} else {
+		fleet, err = standin.StartFleet(*nodes, *seed, healthy)
+	}
 	if err != nil {
 		return err
 	}
-	healthy := standin.Behaviour{Work: *work, Cold: 3 * time.Second, ColdFrom: 0.4}
-	fleet, err := standin.StartFleet(*nodes, *seed, healthy)
+	defer fleet.Close()
+	list, err := parseFaults(*faults, len(fleet.Nodes))
 	if err != nil {
 		return err
 	}
-	defer fleet.Close()
-	classes := standin.Classes()
-	if *config != "" {
+	switch {
+	case *box != "":
+		fmt.Printf("%d nodes are up; start the gateway: bin/dunemoor -appliance %s\n", len(fleet.Nodes), *box)
+	case *config != "":
 		if err := os.WriteFile(*config, fleet.Config("n0", *listen, classes), 0o600); err != nil {
 			return err
 		}
@@ -133,6 +145,17 @@
 			}
 			fleet.List(f.node, "ready")
 		}
+	case "silent":
+		b := healthy
+		b.Mode = standin.Silent
+		n.Behave(b)
+		back = func() { // the machine is back: what was open is reset
+			n.Behave(healthy)
+			n.Crash()
+			if err := n.Start(); err != nil {
+				fmt.Fprintf(os.Stderr, "standin: %s: %v\n", n.Name, err)
+			}
+		}
 	case "drain":
 		fleet.List(f.node, "draining")
 		back = func() { fleet.List(f.node, "ready") }
@@ -176,14 +199,14 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	fmt.Printf("%-10s %8s %8s %8s %8s %8s\n", "class", "asked", "served", "refused", "failed", "lost")
+	fmt.Printf("%-20s %8s %8s %8s %8s %8s\n", "class", "asked", "served", "refused", "failed", "lost")
 	for _, name := range names {
 		by := c.ByClass[name]
 		asked := 0
 		for _, n := range by {
 			asked += n
 		}
-		fmt.Printf("%-10s %8d %8d %8d %8d %8d\n", name, asked, by[standin.Served], by[standin.Refused], by[standin.Failed],
+		fmt.Printf("%-20s %8d %8d %8d %8d %8d\n", name, asked, by[standin.Served], by[standin.Refused], by[standin.Failed],
 			by[standin.Lost]+by[standin.Nothing]+by[standin.Open])
 	}
 	fmt.Printf("%d runs on the nodes, %d ran twice that must not, %d unanswered\n", c.Runs, len(c.Twice), c.Ends[standin.Nothing]+c.Ends[standin.Open])
--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -5,7 +5,9 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -88,6 +90,8 @@
 	maxPools          = 256 // each has a module and its share of memory
 	maxClasses        = 64
 	maxMembers        = 5000
+	maxFallback       = 7 // more would never be reached by a request: it has four attempts
+	leastPoolSockets  = 4 // a request out holds one, and hosts change
 )
 
 // protocols that listeners speak.
@@ -159,6 +163,9 @@
 
 // bad notes an error at a key of the n-th table of a name.
 func (c *checker) bad(table string, n int, key, format string, args ...any) {
+	if c.Odd(c.Line(table, n, key)) {
+		return // that has been said
+	}
 	field := strings.TrimPrefix(table+"."+key, ".")
 	c.wrong = append(c.wrong, c.Error(c.Line(table, n, key), strings.TrimSuffix(field, "."), format, args...))
 }
@@ -183,13 +190,14 @@
 func ParseAppliance(path, text string) (*Appliance, []error) {
 	c := &checker{Text: NewText(path, text)}
 	var f applianceFile
-	if err := c.Decode(&f); err != nil {
-		return nil, []error{err}
+	if c.wrong = c.DecodeAll(&f); len(c.wrong) > 0 && reflect.ValueOf(f).IsZero() {
+		return nil, c.wrong // it is no TOML
 	}
 	a := &Appliance{Name: f.Name, Limits: Limits(f.Limits)}
 	if a.Name == "" {
 		c.bad("", 0, "name", "is missing: what this gateway is called")
 	}
+	c.name("", 0, a.Name)
 	if a.Limits.MemoryMB == 0 {
 		a.Limits.MemoryMB = DefaultMemoryMB
 	}
@@ -220,9 +228,10 @@
 		if !slices.Contains(protocols, l.Protocol) {
 			c.bad("listener", i, "protocol", "%q is none of %s", l.Protocol, strings.Join(protocols, ", "))
 		}
-		if !hostPort(l.Address) {
+		if !hostPort(l.Address, 0) {
 			c.bad("listener", i, "address", "%q is no address like \"127.0.0.1:8080\"", l.Address)
 		}
+		c.name("listener", i, l.Name)
 		if l.Name == "" {
 			l.Name = l.Address
 		}
@@ -237,9 +246,32 @@
 	}
 }
 
-func hostPort(addr string) bool {
+// hostPort says whether an address is host:port; port 0 is one for a listener only.
+func hostPort(addr string, least uint64) bool {
 	_, port, err := net.SplitHostPort(addr)
-	return err == nil && port != ""
+	if err != nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n >= least
+}
+
+// nameMost is how long a name may be: names stand in logs, file names and status lines.
+const nameMost = 64
+
+// name notes an error where a name could not stand in a log, a file name or a terminal as it
+// is. An empty one is said by the caller.
+func (c *checker) name(table string, n int, name string) {
+	if len(name) > nameMost {
+		c.bad(table, n, "name", "is longer than %d characters", nameMost)
+		return
+	}
+	for _, r := range name {
+		if !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.:[]", r)) {
+			c.bad(table, n, "name", "%q has %q in it: letters, digits, '-', '_', '.' and ':' only", name, r)
+			return
+		}
+	}
 }
 
 func (c *checker) classes(a *Appliance, f *applianceFile) {
@@ -251,6 +283,7 @@
 	}
 	for i, x := range f.Class {
 		k := Class{Name: x.Name}
+		c.name("class", i, x.Name)
 		k.Aim, k.Deadline, k.Worth, k.Window = time.Duration(x.Aim), time.Duration(x.Limit), x.Worth, time.Duration(x.Window)
 		var ok bool
 		if k.Effect, ok = effects[x.Effect]; !ok {
@@ -268,7 +301,7 @@
 		if k.Deadline <= 0 || k.Deadline > longestTimeout {
 			c.bad("class", i, "deadline", "%v is not above 0 and up to %v", k.Deadline, longestTimeout)
 		}
-		if k.Aim < 0 || k.Aim > k.Deadline {
+		if k.Aim < 0 || k.Deadline > 0 && k.Aim > k.Deadline {
 			c.bad("class", i, "aim", "%v is not between 0 and the deadline", k.Aim)
 		}
 		if k.Window < 0 || k.Window > longestTimeout {
@@ -295,6 +328,7 @@
 			Name: x.Name, File: x.File, Discovery: x.Discovery, Need: x.Need, Fallback: x.Fallback, Sockets: x.Sockets,
 			Cold: Cold{x.ColdFrom, time.Duration(x.WarmAfter)},
 		}
+		c.name("pool", i, x.Name)
 		if first, taken := at[x.Name]; taken {
 			c.bad("pool", i, "name", "%q is taken (line %d)", x.Name, c.Line("pool", first, "name"))
 		} else if at[x.Name] = i; x.Name == "" {
@@ -309,7 +343,7 @@
 		if sources != 1 {
 			c.bad("pool", i, "name", "it needs one of members, members_file and discovery, it has %d", sources)
 		}
-		if x.Discovery != "" && !hostPort(x.Discovery) {
+		if x.Discovery != "" && !hostPort(x.Discovery, 1) {
 			c.bad("pool", i, "discovery", "%q is no host:port", x.Discovery)
 		}
 		if p.Need == 0 {
@@ -327,7 +361,7 @@
 			if m.ID == "" {
 				m.ID = m.Address
 			}
-			if !hostPort(m.Address) {
+			if !hostPort(m.Address, 1) {
 				c.bad("pool", i, "members", "%q is no host:port", m.Address)
 			}
 			if ids[m.ID] {
@@ -338,7 +372,11 @@
 		}
 		a.Pools = append(a.Pools, p)
 	}
+	c.shares(a)
 	for i, p := range a.Pools {
+		if len(p.Fallback) > maxFallback {
+			c.bad("pool", i, "fallback", "%d pools, %d at most", len(p.Fallback), maxFallback)
+		}
 		for k, name := range p.Fallback {
 			switch _, there := at[name]; {
 			case !there:
@@ -352,6 +390,28 @@
 	}
 }
 
+// shares checks that the descriptors for hosts suffice for all pools.
+func (c *checker) shares(a *Appliance) {
+	sum, rest := 0.0, 0
+	for i, p := range a.Pools {
+		if sum += p.Sockets; p.Sockets == 0 {
+			rest++
+		}
+		if sum > 1+1e-9 {
+			c.bad("pool", i, "sockets", "with this the pools have %.3g times the descriptors for hosts", sum)
+			return
+		}
+	}
+	if rest > 0 && a.Limits.Sockets >= leastSockets {
+		if each := (1 - sum) / float64(rest) * HostSockets(a.Limits.Sockets); each < leastPoolSockets {
+			c.bad("limits", 0, "sockets", "%d are too few: %d pools would have %.1f each for their hosts, %d at least", a.Limits.Sockets, rest, each, leastPoolSockets)
+		}
+	}
+}
+
+// HostSockets is the part of the descriptors that connections to hosts may take: 42 in 100.
+func HostSockets(all int) float64 { return 0.42 * float64(all) }
+
 func (c *checker) routes(a *Appliance, f *applianceFile) {
 	if len(f.Route) == 0 {
 		c.bad("", 0, "route", "there is none: no request would be served")
@@ -395,6 +455,7 @@
 				c.bad("route", i, "repeatable", "%q: only PUT and DELETE can be said to be, GET, HEAD and OPTIONS are, POST is not", m)
 			}
 		}
+		c.name("route", i, x.Name)
 		rule := route.Rule{
 			Name: x.Name, Line: c.Line("route", i, ""), Hosts: x.Hosts, Path: x.Path, Methods: x.Methods, SplitBy: x.SplitBy,
 		}
--- a/internal/config/appliance_test.go
+++ b/internal/config/appliance_test.go
@@ -93,3 +93,65 @@
 		t.Errorf("no file: %v", wrong)
 	}
 }
+
+// One slip does not hide the others: a value of a wrong type, one out of bounds and an unknown
+// key are all said, each once, and nothing follows from what was left out.
+func TestAllMistakesAtOnce(t *testing.T) {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := string(text)
+	for _, c := range [][2]string{
+		{`deadline = "4s"`, `deadline = 4`}, {`memory_mb = 64`, `memory_mb = "64"`}, {`sockets = 1024`, `sockets = 5`},
+		{`timeout = "2s"`, `timeuot = "2s"`}, {`effect = "unsafe"`, `effect = "unsave"`}, {`worth = 5`, `wort = 5`},
+		{`address = "127.0.0.1:8080"`, `address = "127.0.0.1:99999"`}, {`"127.0.0.1:9201"`, `"127.0.0.1:0"`},
+		{`name = "depot-1"`, `name = "depot\u001b[31m"`},
+	} {
+		if !strings.Contains(bad, c[0]) {
+			t.Fatalf("the example lacks %q", c[0])
+		}
+		bad = strings.Replace(bad, c[0], c[1], 1)
+	}
+	_, wrong := ParseAppliance("f", bad)
+	var all []string
+	for _, err := range wrong {
+		all = append(all, err.Error())
+	}
+	for _, want := range []string{
+		"class.deadline: ", "limits.memory_mb: ", "limits.sockets: 5 is", "route.timeuot: there is no", `class.effect: "unsave"`,
+		"class.wort: there is no", `listener.address: "127.0.0.1:99999"`, `pool.members: "127.0.0.1:0"`, `name: "depot\x1b[31m" has '\x1b' in it`,
+	} {
+		n := 0
+		for _, s := range all {
+			if strings.Contains(s, want) {
+				n++
+			}
+		}
+		if n != 1 {
+			t.Errorf("%q is said %d times in\n%s", want, n, strings.Join(all, "\n"))
+		}
+	}
+	if len(all) != 9 {
+		t.Errorf("%d mistakes of 9:\n%s", len(all), strings.Join(all, "\n"))
+	}
+}
+
+// Pools that would have no descriptors to serve with are a mistake, not a gateway that fails.
+func TestSharesOfSockets(t *testing.T) {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(text)
+	for _, c := range []struct{ old, new, want string }{
+		{`sockets = 1024`, `sockets = 64`, ""},
+		{`fallback = ["calendar-old"]`, "fallback = [\"calendar-old\"]\nsockets = 0.6", ""},
+		{`fallback = ["calendar-old"]`, "fallback = [\"calendar-old\"]\nsockets = 1.0", "limits.sockets: 1024 are too few: 3 pools would have 0.0 each"},
+	} {
+		_, wrong := ParseAppliance("f", strings.Replace(good, c.old, c.new, 1))
+		if c.want == "" && len(wrong) > 0 || c.want != "" && (len(wrong) != 1 || !strings.Contains(wrong[0].Error(), c.want)) {
+			t.Errorf("%q: %v, want %q", c.new, wrong, c.want)
+		}
+	}
+}
--- a/internal/config/lines.go
+++ b/internal/config/lines.go
@@ -19,6 +19,7 @@
 	path   string
 	data   string
 	tables []table
+	odd    map[int]bool // lines left out
 }
 
 // table is a header with the keys below it. The first is the top of the file.
@@ -130,22 +131,71 @@
 
 // Decode reads the text into v; what v has no place for is an error.
 func (t *Text) Decode(v any) error {
-	meta, err := toml.Decode(t.data, v)
-	if err != nil {
-		return t.decodeError(err, reflect.TypeOf(v).Elem())
-	}
-	if odd := meta.Undecoded(); len(odd) > 0 {
-		key := odd[0].String()
-		return t.Error(t.anyLine(key), key, "there is no such setting")
+	if wrong := t.DecodeAll(v); len(wrong) > 0 {
+		return wrong[0]
 	}
 	return nil
 }
 
+// mistakesMost is how many values of a wrong type are looked for: who reads more at once?
+const mistakesMost = 20
+
+// DecodeAll reads the text into v and says all that is wrong: behind a value of a wrong type
+// it goes on without that line, so that one slip does not hide the others. What was left out
+// so is Odd.
+func (t *Text) DecodeAll(v any) (wrong []error) {
+	data := t.data
+	defer func() { t.data = data }()
+	form := reflect.TypeOf(v).Elem()
+	for range mistakesMost {
+		into := reflect.New(form)
+		into.Elem().Set(reflect.ValueOf(v).Elem()) // its defaults
+		meta, err := toml.Decode(t.data, into.Interface())
+		if err != nil {
+			line, text := t.decodeError(err, form)
+			wrong = append(wrong, text)
+			if !t.leaveOut(line) {
+				return wrong
+			}
+			continue
+		}
+		reflect.ValueOf(v).Elem().Set(into.Elem())
+		for _, odd := range meta.Undecoded() {
+			key := odd.String()
+			wrong = append(wrong, t.Error(t.anyLine(key), key, "there is no such setting"))
+		}
+		return wrong
+	}
+	return wrong
+}
+
+// leaveOut takes a line out that is a setting by itself, and says whether it did.
+func (t *Text) leaveOut(line int) bool {
+	lines := strings.SplitAfter(t.data, "\n")
+	if line < 1 || line > len(lines) {
+		return false
+	}
+	var alone map[string]any
+	if _, err := toml.Decode(lines[line-1], &alone); err != nil || len(alone) != 1 {
+		return false
+	}
+	lines[line-1] = "\n"
+	t.data = strings.Join(lines, "")
+	if t.odd == nil {
+		t.odd = map[int]bool{}
+	}
+	t.odd[line] = true
+	return true
+}
+
+// Odd says whether DecodeAll has left a line out.
+func (t *Text) Odd(line int) bool { return t.odd[line] }
+
 // decodeError words an error of the library. Of a value of the wrong type in one of several
-// tables of a name it gives the line of the last of them; so the text is read again up to
-// each table, and the first that fails has it.
-func (t *Text) decodeError(err error, form reflect.Type) error {
-	line, key, text := 0, "", ""
+// tables of a name it gives the line of the last of them; so each of them is read by itself,
+// with that key alone, and the first that fails has it.
+func (t *Text) decodeError(err error, form reflect.Type) (line int, wrong error) {
+	key, text := "", ""
 	var at toml.ParseError
 	if errors.As(err, &at) {
 		line, key, text = at.Position.Line, at.LastKey, at.Message
@@ -153,26 +203,26 @@
 		fmt.Sscan(m[1], &line)
 		key, text = m[2], m[3]
 	} else {
-		return fmt.Errorf("%s: %w", t.path, err)
+		return 0, fmt.Errorf("%s: %w", t.path, err)
 	}
 	i := strings.LastIndexByte(key, '.')
 	if i < 0 || t.count(key[:i]) < 2 {
-		return t.Error(line, key, "%s", text)
+		return line, t.Error(line, key, "%s", text)
 	}
-	lines := strings.SplitAfter(t.data, "\n")
+	lines := strings.Split(t.data, "\n")
 	for k := range t.tables {
-		end := len(lines)
-		if k+1 < len(t.tables) {
-			end = t.tables[k+1].line - 1
+		x := &t.tables[k]
+		at := x.keys[key[i+1:]]
+		if x.name != key[:i] || at == 0 {
+			continue
 		}
-		if _, err := toml.Decode(strings.Join(lines[:end], ""), reflect.New(form).Interface()); err != nil {
-			if found := t.tables[k].keys[key[i+1:]]; found > 0 && t.tables[k].name == key[:i] {
-				line = found
-			}
+		alone := lines[x.line-1] + "\n" + lines[at-1]
+		if _, err := toml.Decode(alone, reflect.New(form).Interface()); err != nil {
+			line = at
 			break
 		}
 	}
-	return t.Error(line, key, "%s", text)
+	return line, t.Error(line, key, "%s", text)
 }
 
 // count is the number of tables of a name.
--- a/internal/discovery/file_test.go
+++ b/internal/discovery/file_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lynxspool"
@@ -109,3 +110,37 @@
 		t.Errorf("%+v, %v", list, err)
 	}
 }
+
+// A change is told within a second, in virtual time: it guards the promise of how often the
+// file is looked at.
+func TestFileIsLookedAtEverySecond(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "hosts.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(one)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c, done := make(told, 4), make(chan struct{})
+		go func() { defer close(done); NewFile(path).Run(ctx, c) }()
+		synctest.Wait()
+		if len(c) != 1 {
+			t.Fatalf("told %d times at the start", len(c))
+		}
+		<-c
+		write(strings.Replace(one, `"id":"a"`, `"id":"b"`, 1))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(c) != 1 {
+			t.Errorf("told %d times in the second after a change", len(c))
+		}
+		time.Sleep(time.Minute)
+		if len(c) != 1 {
+			t.Errorf("told %d times though nothing changed", len(c))
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -131,7 +131,7 @@
 // in for it take a part.
 func (e *Engine) submit(now lynxspool.Time, x *Request) {
 	r := x.Route
-	x.chain, x.proved = r.chains[0], true
+	x.chain, x.proved, x.unreached = r.chains[0], true, true
 	if len(r.chains) > 1 {
 		x.chain = r.chains[r.rule.Pool(x.Key, e.rng.Uint64())]
 	}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -257,7 +257,7 @@
 		panic("engine: attempt of an unknown request or host")
 	}
 	n := len(x.attempts)
-	if x.sent > 0 && (x.sent >= attemptsMost || x.Route.budget != nil && !x.Route.budget.Retry(now)) {
+	if x.sent > 0 && !p.again(now, x) {
 		x.attempts = append(x.attempts, func() {})
 		p.denied = append(p.denied, lynxspool.Outcome{Request: x.id, Attempt: n, Result: lynxspool.NotSent, Closed: x.Over()})
 		return
@@ -281,6 +281,18 @@
 	}()
 }
 
+// again says whether a request may have another attempt, beside what the module allows. A
+// trial has one in the pool that it tries, and where another pool may still serve it, the
+// last of all is kept for that.
+func (p *Pool) again(now lynxspool.Time, x *Request) bool {
+	if len(x.attempts) > 0 && len(x.chain.pools) > 1 && (x.trial || x.sent >= attemptsMost-1) && (x.proved || x.Route.safe(x.Class)) {
+		if _, ok := x.chain.state.Next(now, x.level, x.trial); ok {
+			return false
+		}
+	}
+	return x.sent < attemptsMost && (x.Route.budget == nil || x.Route.budget.Retry(now))
+}
+
 // over is the end of an attempt. The first good answer ends the request by itself; the
 // module is told so.
 func (p *Pool) over(now lynxspool.Time, x *Request, n int, took time.Duration, r Result) {
@@ -299,6 +311,7 @@
 		}
 	}
 	x.proved = x.proved && neverRan(outcome)
+	x.unreached = x.unreached && (outcome == lynxspool.ConnectFailed || outcome == lynxspool.NotSent)
 	p.bal.Outcome(now, lynxspool.Outcome{
 		Request: x.id, Attempt: n, Result: outcome,
 		Elapsed: took, Closed: x.over.Load(),
@@ -343,7 +356,7 @@
 // may have run. A pool that is full keeps its refusals, as they would push over the next.
 func (p *Pool) moves(now lynxspool.Time, x *Request) bool {
 	if len(x.chain.pools) < 2 || x.out > 0 || x.Over() || x.sent >= attemptsMost || !x.proved && !x.Route.safe(x.Class) ||
-		!x.trial && x.sent == 0 || !x.Deadline.After(p.engine.clock.time(now)) {
+		!x.trial && (x.sent == 0 || !x.unreached) || !x.Deadline.After(p.engine.clock.time(now)) {
 		return false
 	}
 	next, ok := x.chain.state.Next(now, x.level, x.trial)
@@ -361,6 +374,8 @@
 	usable, drawn := p.core.Usable()
 	if drawn > 0 {
 		usable = usable * p.takes / drawn // the module may draw from a part, which stands for all
+	} else {
+		usable = p.takes // it has yet to look at the list
 	}
 	if p.usable == [2]int{usable, len(p.hosts)} {
 		return
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -30,16 +30,17 @@
 	answer chan Answer // holds the answer that finish was won with
 
 	// The rest belongs to the loop.
-	id       lynxspool.RequestID
-	pool     *Pool
-	attempts []context.CancelFunc // of the pool that it is in now
-	out      int
-	sent     int  // attempts that went out, in all pools
-	proved   bool // all that ended so far never ran
-	chain    *chain
-	level    int    // of the chain that it is in
-	trial    bool   // sent to see whether a pool is back
-	last     Answer // what a host said that was no success, to be passed on if nothing better comes
+	id        lynxspool.RequestID
+	pool      *Pool
+	attempts  []context.CancelFunc // of the pool that it is in now
+	out       int
+	sent      int  // attempts that went out, in all pools
+	proved    bool // all that ended so far never ran
+	unreached bool // ... as no connection came up
+	chain     *chain
+	level     int    // of the chain that it is in
+	trial     bool   // sent to see whether a pool is back
+	last      Answer // what a host said that was no success, to be passed on if nothing better comes
 }
 
 // Over says whether it has its answer or nobody waits for one: nothing may go out for it.
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -49,6 +49,7 @@
 	Method string
 	Target string // as it came
 	Host   string
+	Named  string // what the Host header names, where the target names a host too
 	Header http.Header
 	Length int64 // of the body
 }
@@ -130,7 +131,11 @@
 	} else {
 		q := route.Request{Method: m.Method, Header: e.header}
 		var err error
-		if q.Host, q.Path, err = route.Target(m.Target, m.Host); err != nil {
+		host := m.Host
+		if m.Target != "" && m.Target[0] != '/' {
+			host = m.Named
+		}
+		if q.Host, q.Path, err = route.Target(m.Target, host); err != nil {
 			return Bad(http.StatusBadRequest, "%v", err)
 		}
 		if e.Route = e.plan.Route(&q); e.Route == nil {
--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -1,9 +1,12 @@
 package http1
 
 import (
+	"bufio"
+	"bytes"
 	"container/list"
 	"net"
 	"net/http"
+	"net/textproto"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -39,7 +42,8 @@
 type clientConn struct {
 	*net.TCPConn
 	use    atomic.Int32
-	served atomic.Bool // it has had an answer
+	served atomic.Bool            // it has had an answer
+	odd    atomic.Pointer[[]byte] // what was read last, if it may begin a request whose target names a host
 
 	// clients.mu guards these.
 	in    *list.List
@@ -54,12 +58,48 @@
 // to bring its first can be closed until that is there whole.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	c.look(b[:n])
 	if n > 0 && c.served.Load() && !c.use.CompareAndSwap(connFree, connTaken) && c.use.Load() == connClosed {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// methodMost is how long the methods are that a target in absolute-form may stand behind.
+const methodMost = 16
+
+// look keeps a copy of what has come where its first line has a target that is not a path.
+// net/http drops the Host header of such a request; hostHeader finds it again.
+func (c *clientConn) look(b []byte) {
+	i := bytes.IndexByte(b[:min(len(b), methodMost)], ' ')
+	if i < 0 || i+1 >= len(b) || b[i+1] == '/' {
+		if c.odd.Load() != nil {
+			c.odd.Store(nil)
+		}
+		return
+	}
+	b = bytes.Clone(b)
+	c.odd.Store(&b)
+}
+
+// hostHeader is the Host header of a request whose target names a host. Where the head did
+// not come by itself and in one piece it can't be told, and is empty.
+func (c *clientConn) hostHeader() string {
+	odd := c.odd.Load()
+	if odd == nil {
+		return ""
+	}
+	in := textproto.NewReader(bufio.NewReader(bytes.NewReader(*odd)))
+	if _, err := in.ReadLine(); err != nil {
+		return ""
+	}
+	h, err := in.ReadMIMEHeader()
+	if err != nil || len(h["Host"]) != 1 {
+		return ""
+	}
+	return h["Host"][0]
+}
+
 // clientListener gives out clientConns.
 type clientListener struct{ net.Listener }
 
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -237,9 +237,11 @@
 	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
 		return nil, front.Bad(http.StatusBadRequest, "the body needs a Content-Length, in HTTP/1.1")
 	}
-	x, err := s.gate.Begin(&front.Message{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Length: r.ContentLength,
-	}, came)
+	m := front.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Length: r.ContentLength}
+	if m.Target != "" && m.Target[0] != '/' {
+		m.Named = c.hostHeader() // r.Host is what the target names
+	}
+	x, err := s.gate.Begin(&m, came)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -161,7 +161,7 @@
 	// From here on nothing fails.
 	for i, cfg := range a.Pools {
 		p := pools[cfg.Name]
-		p.transport.Limit(int(shares[i]*float64(g.sockets*hostSockets/100)), int64(shares[i]*largeShare*float64(g.memory)))
+		p.transport.Limit(int(shares[i]*config.HostSockets(g.sockets)), int64(shares[i]*largeShare*float64(g.memory)))
 		if p == b.pools[cfg.Name] && !sameSource(p.cfg, cfg) {
 			p.source()
 			if err := p.follow(cfg, false); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,6 @@
 const (
 	clientSockets = 48
 	clientSpare   = 2
-	hostSockets   = 42
 )
 
 // largeShare is the part of the memory limit that large answers may fill, all together,
@@ -104,7 +103,7 @@
 	}
 	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), longest)
 	transport := hosts.New(hosts.Options{
-		Sockets: cfg.Sockets * hostSockets / 100, Memory: int64(largeShare * float64(cfg.Memory())),
+		Sockets: int(config.HostSockets(cfg.Sockets)), Memory: int64(largeShare * float64(cfg.Memory())),
 		ConnIdle: cfg.ConnIdle, DialTimeout: cfg.DialTimeout,
 	})
 	g.watcher = discovery.NewWatcher(cfg.Discovery, cfg.Settings.Ask, cfg.Known.Version)
--- a/internal/route/normal.go
+++ b/internal/route/normal.go
@@ -24,8 +24,8 @@
 
 // Path gives the one form that paths are matched in. It takes the path of an origin-form
 // target, without its query. Escapes of unreserved characters are undone (RFC 3986, 6.2.2.2);
-// all that could be read in two ways is ErrPath: segments of one or two dots, empty segments
-// but a last one, escaped slashes and backslashes, backslashes, escapes that are none,
+// all that could be read in two ways is ErrPath: segments of one or two dots, with a path
+// parameter behind them or none, empty segments but a last one, escaped slashes and backslashes, backslashes, escapes that are none,
 // control characters, and what is not ASCII unescaped. A path that is in that form already
 // is returned as it is, without allocating.
 func Path(path string) (string, error) {
@@ -56,7 +56,7 @@
 	for rest := path[1:]; ; depth++ {
 		segment, after, more := strings.Cut(rest, "/")
 		switch {
-		case segment == "." || segment == ".." || segment == "" && more:
+		case dots(segment) || segment == "" && more:
 			return "", ErrPath
 		case depth >= maxSegments:
 			return "", ErrTooDeep
@@ -67,6 +67,18 @@
 	}
 }
 
+// dots says whether a segment is one or two dots, to any server: some take what follows a
+// semicolon for a parameter and look at the rest (RFC 3986, 3.3), and so would read "..;x" as
+// a step up.
+func dots(segment string) bool {
+	if len(segment) < 1 || segment[0] != '.' {
+		return false
+	}
+	name, _, _ := strings.Cut(segment, ";")
+	name, _, _ = strings.Cut(name, "%3B") // which is one to those who undo escapes first
+	return name == "." || name == ".."
+}
+
 // unescape undoes the escapes of unreserved characters and spells the others alike.
 func unescape(path string) string {
 	var b strings.Builder
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -160,6 +160,12 @@
 		"/./a":                              "",
 		"/%2e%2E/a":                         "",
 		"/.%2e":                             "",
+		"/deep/..;/x":                       "",
+		"/deep/.;a=1/x":                     "",
+		"/deep/..;x":                        "",
+		"/deep/%2e.;/x":                     "",
+		"/deep/..%3b/x":                     "",
+		"/deep/..a;/x":                      "/deep/..a;/x",
 		"//a":                               "",
 		"/a//b":                             "",
 		"/a%2Fb":                            "",
@@ -557,3 +563,118 @@
 		})
 	}
 }
+
+// A pool that gets nothing is tried now and then, with what may be sent again; where nothing
+// such comes, with anything. It guards against never seeing that a pool is back, and against
+// risking more than that.
+func TestTrials(t *testing.T) {
+	now := Time(time.Hour)
+	c := NewChain(1, 1)
+	c.Usable(now, 0, 4, 4)
+	c.Usable(now, 1, 4, 4)
+	trials := func(span Time, safe func(i int) bool) (n int) {
+		for i := range int(span / (10 * time.Millisecond)) {
+			now += 10 * time.Millisecond
+			if p, ok := c.Trial(now, safe(i)); ok {
+				if p != 0 {
+					t.Errorf("a trial of pool %d", p)
+				}
+				n++
+			}
+		}
+		return n
+	}
+	always := func(bool) func(int) bool { return func(int) bool { return true } }(true)
+	never := func(int) bool { return false }
+	if n := trials(time.Minute, always); n != 0 {
+		t.Errorf("%d trials of a pool that is well", n)
+	}
+	c.Usable(now, 0, 0, 4)
+	if n := trials(10*time.Second, always); n < 35 || n > 41 {
+		t.Errorf("%d trials in 10 s, one every %v is wanted", n, trialEvery)
+	}
+	if n := trials(30*time.Second, never); n < 4 || n > 6 {
+		t.Errorf("%d trials in 30 s with what may not be sent again, one every %v is wanted", n, trialAny)
+	}
+	c.Usable(now, 0, 0, 0)
+	if n := trials(10*time.Second, always); n != 0 {
+		t.Errorf("%d trials of a pool without hosts", n)
+	}
+	c.Usable(now, 0, 0, 4)
+	c.Usable(now, 0, 1, 4)
+	if n := trials(10*time.Second, always); n != 0 {
+		t.Errorf("%d trials of a pool that is on its way back", n)
+	}
+	single := NewChain(1)
+	single.Usable(now, 0, 0, 3)
+	if _, ok := single.Next(now, 0, true); ok {
+		t.Error("a pool by itself leads on")
+	}
+}
+
+// From a pool that turned it away a request goes on to one behind it that gets something; a
+// trial also to one before. It guards against a request that goes round.
+func TestNext(t *testing.T) {
+	now := Time(time.Hour)
+	for _, x := range []struct {
+		usable [3]int
+		from   int
+		trial  bool
+		want   int // -1: none
+	}{
+		{[3]int{0, 3, 3}, 0, false, 1}, {[3]int{0, 0, 3}, 0, false, 2}, {[3]int{3, 0, 0}, 0, false, -1},
+		{[3]int{3, 0, 3}, 1, false, 2}, {[3]int{3, 0, 0}, 1, false, -1}, {[3]int{3, 0, 0}, 1, true, 0},
+		{[3]int{0, 0, 0}, 0, true, -1}, {[3]int{3, 3, 3}, 2, false, -1},
+	} {
+		c := NewChain(1, 1, 1)
+		for i, n := range x.usable {
+			c.Usable(now, i, n, 3)
+		}
+		got, ok := c.Next(now, x.from, x.trial)
+		if !ok {
+			got = -1
+		}
+		if got != x.want {
+			t.Errorf("%+v: %d", x, got)
+		}
+	}
+}
+
+// Chains of which none carries anything have shares all the same: it guards against parts that
+// are no numbers.
+func TestNothingAnywhere(t *testing.T) {
+	c := NewChain(1, 1)
+	c.Usable(0, 0, 0, 4)
+	c.Usable(0, 1, 0, 4)
+	if s := c.Shares(time.Second, nil); s[0] != 1 || s[1] != 0 {
+		t.Errorf("shares %v", s)
+	}
+}
+
+// A budget is never above what may be saved up, however many first tries come, and an older
+// time takes nothing away and gives nothing.
+func TestBudgetBounds(t *testing.T) {
+	b := NewBudget(0.5, 0)
+	now := Time(time.Hour)
+	for range 100_000 {
+		b.Try(now)
+	}
+	n := 0
+	for b.Retry(now) {
+		n++
+	}
+	if n != 0.5*budgetTries {
+		t.Errorf("%d retries saved up, %v is the most", n, 0.5*budgetTries)
+	}
+	f := NewBudget(0, 1)
+	f.Retry(now)
+	if f.Retry(now - time.Minute); f.Retry(now) {
+		t.Error("going back in time has filled it")
+	}
+	if f.at != now {
+		t.Errorf("its clock went back by %v", now-f.at)
+	}
+	if !f.Retry(now + time.Second) {
+		t.Error("a second later there is none")
+	}
+}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -1,12 +1,12 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,9 +20,12 @@
 	Effect  Effect
 	Share   float64 // of the requests; they need not sum up to 1
 	Timeout time.Duration
-	Window  time.Duration // of Keyed
 	Body    string
-	Path    string // "" is "/api/NAME"
+	Path    string        // "" is "/api/NAME"
+	Host    string        // for the Host header; "": that of the URL
+	Says    string        // what is said as the class; "": the name
+	Plain   bool          // an ordinary client: it sends none of our headers but an id to be known by
+	Window  time.Duration // of Keyed
 }
 
 // Load is clients that ask at a rate, whether answers come or not.
@@ -41,8 +44,7 @@
 
 // Run asks until Count requests have been made and all have ended, or ctx ends.
 func (l *Load) Run(ctx context.Context, ledger *Ledger) error {
-	host, _, err := net.SplitHostPort(strings.TrimPrefix(l.URL, "http://"))
-	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+	if !loopback(strings.TrimPrefix(l.URL, "http://")) {
 		return fmt.Errorf("standin: %q is no loopback address", l.URL)
 	}
 	if l.Rate <= 0 || l.Count <= 0 || l.Count > loadMost || len(l.Classes) == 0 {
@@ -117,9 +119,12 @@
 		panic(err) // of the test's own making
 	}
 	r.GetBody = nil // net/http must not send it again by itself
+	r.Host = c.Host
 	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Priority-Class", c.Name)
-	r.Header.Set("X-Timeout", strconv.FormatFloat(c.Timeout.Seconds(), 'f', 3, 64))
+	if !c.Plain {
+		r.Header.Set("X-Priority-Class", cmp.Or(c.Says, c.Name))
+		r.Header.Set("X-Timeout", strconv.FormatFloat(c.Timeout.Seconds(), 'f', 3, 64))
+	}
 	if ask.Key != "" {
 		r.Header.Set("Idempotency-Key", ask.Key)
 	}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -23,19 +23,41 @@
 
 // StartFleet starts n nodes that behave alike, and discovery.
 func StartFleet(n int, seed uint64, b Behaviour) (*Fleet, error) {
-	f := &Fleet{Ledger: NewLedger(), draining: map[string]bool{}, gone: map[string]bool{}}
+	f, err := StartService("s", n, seed, b, NewLedger())
+	if err == nil {
+		f.Discovery = StartDiscovery(f.Members()...)
+	}
+	return f, err
+}
+
+// NewFleet is one without nodes.
+func NewFleet(ledger *Ledger) *Fleet {
+	return &Fleet{Ledger: ledger, draining: map[string]bool{}, gone: map[string]bool{}}
+}
+
+// StartService starts n nodes that behave alike, without discovery; several services may
+// share a ledger.
+func StartService(name string, n int, seed uint64, b Behaviour, ledger *Ledger) (*Fleet, error) {
+	f := NewFleet(ledger)
 	for i := range n {
-		node, err := StartNode(fmt.Sprintf("s-%02d", i), fmt.Sprint(i/perGroup), f.Ledger, seed+uint64(i), b)
+		node, err := StartNode(fmt.Sprintf("%s-%02d", name, i), fmt.Sprint(name, i/perGroup), ledger, seed+uint64(i), b)
 		if err != nil {
 			f.Close()
 			return nil, err
 		}
 		f.Nodes = append(f.Nodes, node)
 	}
-	f.Discovery = StartDiscovery(f.Members()...)
 	return f, nil
 }
 
+// Addrs is where the nodes listen.
+func (f *Fleet) Addrs() (list []string) {
+	for _, n := range f.Nodes {
+		list = append(list, n.Addr())
+	}
+	return list
+}
+
 // Close ends it all.
 func (f *Fleet) Close() {
 	if f.Discovery != nil {
@@ -77,13 +99,16 @@
 	return n.started.UnixMilli()
 }
 
-// List says of a node that it is ready, draining or gone, and tells all watches.
+// List says of a node that it is ready, draining or gone, and tells all watches, if there is a
+// discovery.
 func (f *Fleet) List(i int, state string) {
 	f.mu.Lock()
 	name := f.Nodes[i].Name
 	f.draining[name], f.gone[name] = state == "draining", state == "gone"
 	f.mu.Unlock()
-	f.Discovery.Set(f.Members()...)
+	if f.Discovery != nil {
+		f.Discovery.Set(f.Members()...)
+	}
 }
 
 // Classes are those of the example: a lookup, a booking and a report.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -57,17 +57,32 @@
 	started time.Time
 	starts  int
 	cores   chan struct{}
+	end     chan struct{} // closed by Crash
 	rng     *rand.Rand
 	Took    int // connections accepted, guarded by mu
 }
 
 // StartNode starts a node on a free port of 127.0.0.1.
 func StartNode(name, group string, ledger *Ledger, seed uint64, b Behaviour) (*Node, error) {
-	n := &Node{Name: name, Group: group, ledger: ledger, rng: rand.New(rand.NewPCG(seed, 1)), addr: "127.0.0.1:0"}
+	return StartNodeAt("127.0.0.1:0", name, group, ledger, seed, b)
+}
+
+// StartNodeAt starts a node at an address, which must be a loopback one.
+func StartNodeAt(addr, name, group string, ledger *Ledger, seed uint64, b Behaviour) (*Node, error) {
+	if !loopback(addr) {
+		return nil, fmt.Errorf("standin: %q is no loopback address", addr)
+	}
+	n := &Node{Name: name, Group: group, ledger: ledger, rng: rand.New(rand.NewPCG(seed, 1)), addr: addr}
 	n.script.Store(&b)
 	return n, n.Start()
 }
 
+func loopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	ip := net.ParseIP(host)
+	return err == nil && ip != nil && ip.IsLoopback()
+}
+
 // Addr is where it listens; it stays the same over a crash.
 func (n *Node) Addr() string { return n.addr }
 
@@ -90,6 +105,7 @@
 	n.mu.Lock()
 	n.ln, n.addr, n.started = ln, ln.Addr().String(), time.Now()
 	n.starts++
+	n.end = make(chan struct{})
 	n.conns = map[net.Conn]struct{}{}
 	n.cores = make(chan struct{}, max(1, n.script.Load().Cores))
 	n.mu.Unlock()
@@ -106,6 +122,7 @@
 	}
 	n.ln.Close()
 	n.ln = nil
+	close(n.end)
 	for c := range n.conns {
 		reset(c)
 	}
@@ -155,7 +172,7 @@
 	in := bufio.NewReader(c)
 	for {
 		if n.script.Load().Mode == Silent {
-			io.Copy(io.Discard, blackHole{})
+			<-n.crashed() // until then open and silent, as a machine that has vanished
 			return
 		}
 		r, err := http.ReadRequest(in)
@@ -171,11 +188,12 @@
 	}
 }
 
-// blackHole is read from for ever, until the process ends; a connection it is read for stays
-// open and silent.
-type blackHole struct{}
-
-func (blackHole) Read([]byte) (int, error) { select {} }
+// crashed is closed by the next Crash.
+func (n *Node) crashed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.end
+}
 
 // answer answers one request and says whether the connection goes on.
 func (n *Node) answer(c net.Conn, r *http.Request) bool {
--- a/sets.go
+++ b/sets.go
@@ -217,7 +217,7 @@
 	if now.listed = h.drawn() && h.State == Ready; now.listed {
 		set = b.belongs(h)
 		now.used, now.out = b.inUse(h), b.ejected(h)
-		now.broken = now.out && h.why == CauseConnections
+		now.broken, now.failing = now.out && h.why == CauseConnections, h.fails > 0
 	}
 	if h.fails > 0 {
 		until(h.ejectUntil)
--- a/state.go
+++ b/state.go
@@ -115,17 +115,17 @@
 }
 
 // standing is what a host counts as among those drawn from.
-type standing struct{ listed, used, out, broken bool }
+type standing struct{ listed, used, out, broken, failing bool }
 
-// tally counts hosts drawn from: all, neither cold nor ejected, ejected, and ejected as
-// connections to them fail.
-type tally struct{ listed, used, out, broken int }
+// tally counts hosts drawn from: all, neither cold nor ejected, ejected, ejected as
+// connections to them fail, and those that have not answered since they were ejected.
+type tally struct{ listed, used, out, broken, failing int }
 
 func (t *tally) add(s standing, n int) {
 	for _, f := range [...]struct {
 		is bool
 		to *int
-	}{{s.listed, &t.listed}, {s.used, &t.used}, {s.out, &t.out}, {s.broken, &t.broken}} {
+	}{{s.listed, &t.listed}, {s.used, &t.used}, {s.out, &t.out}, {s.broken, &t.broken}, {s.failing, &t.failing}} {
 		if f.is {
 			*f.to += n
 		}
