--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -74,6 +74,12 @@
 	Timeout    time.Duration
 	Repeatable []string // methods that may be sent again though they are not safe
 	Failures   []int    // statuses of hosts that tell of a failure
+	Hold       int64    // bytes of a body that are held so that it can be sent again
+	MaxBody    int64    // bytes; 0: any
+	Stream     bool     // the time is for the answer's head
+	Idle       time.Duration
+	LeastRate  int64 // bytes a second
+	Upgrades   int
 	RetryShare float64
 	RetryFloor float64
 }
@@ -90,8 +96,12 @@
 	maxPools          = 256 // each has a module and its share of memory
 	maxClasses        = 64
 	maxMembers        = 5000
-	maxFallback       = 7 // more would never be reached by a request: it has four attempts
-	leastPoolSockets  = 4 // a request out holds one, and hosts change
+	defaultHold       = 64 << 10 // what the platform's protocol holds of every body
+	holdMost          = 1 << 20  // beyond it a few requests fill what bodies may
+	defaultIdle       = 30 * time.Second
+	defaultLeastRate  = 256 // bytes a second: a modem of 1985 does
+	maxFallback       = 7   // more would never be reached by a request: it has four attempts
+	leastPoolSockets  = 4   // a request out holds one, and hosts change
 )
 
 // protocols that listeners speak.
@@ -139,6 +149,12 @@
 		Timeout    Span
 		Repeatable []string
 		Failures   []int
+		Hold       *Size
+		MaxBody    Size `toml:"max_body"`
+		Stream     bool
+		Idle       Span
+		LeastRate  *Size `toml:"least_rate"`
+		Upgrades   int
 		RetryShare *float64 `toml:"retry_share"`
 		RetryFloor *float64 `toml:"retry_floor"`
 	}
@@ -427,6 +443,26 @@
 			Class: x.Class, Timeout: time.Duration(x.Timeout), Repeatable: x.Repeatable,
 			RetryShare: defaultRetryShare, RetryFloor: defaultRetryFloor,
 		}
+		r.Hold, r.LeastRate = defaultHold, defaultLeastRate
+		if x.Hold != nil {
+			r.Hold = int64(*x.Hold)
+		}
+		if x.LeastRate != nil {
+			r.LeastRate = int64(*x.LeastRate)
+		}
+		r.MaxBody, r.Stream, r.Upgrades = int64(x.MaxBody), x.Stream, x.Upgrades
+		if r.Idle = time.Duration(x.Idle); r.Idle == 0 {
+			r.Idle = defaultIdle
+		}
+		c.within("route", i, "hold", float64(r.Hold), 0, holdMost)
+		c.within("route", i, "idle", r.Idle.Seconds(), 0.1, (24 * time.Hour).Seconds())
+		c.within("route", i, "upgrades", float64(r.Upgrades), 0, 1<<16)
+		for key, set := range map[string]bool{"hold": x.Hold != nil, "max_body": x.MaxBody != 0, "stream": x.Stream, "idle": x.Idle != 0,
+			"least_rate": x.LeastRate != nil, "upgrades": x.Upgrades != 0, "failures": x.Failures != nil} {
+			if set && x.Class == "" {
+				c.bad("route", i, key, "is for routes that give a class")
+			}
+		}
 		if r.Failures = x.Failures; x.Failures == nil {
 			r.Failures = route.DefaultFailures
 		}
--- a/internal/config/lines.go
+++ b/internal/config/lines.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"reflect"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -247,3 +248,28 @@
 	*s = Span(d)
 	return nil
 }
+
+// Size is a number of bytes as it stands in a file: 500, "64KiB", "50MiB" or "1GiB".
+type Size int64
+
+// UnmarshalTOML reads a Size.
+func (s *Size) UnmarshalTOML(v any) error {
+	switch v := v.(type) {
+	case int64:
+		if v < 0 {
+			return fmt.Errorf("%d is below 0", v)
+		}
+		*s = Size(v)
+		return nil
+	case string:
+		for unit, shift := range map[string]int{"KiB": 10, "MiB": 20, "GiB": 30} {
+			if number, ok := strings.CutSuffix(v, unit); ok {
+				if n, err := strconv.ParseUint(number, 10, 32); err == nil {
+					*s = Size(n << shift)
+					return nil
+				}
+			}
+		}
+	}
+	return fmt.Errorf("%v is no size like 500, \"64KiB\" or \"50MiB\"", v)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -88,40 +88,72 @@
 	}
 }
 
-// Do hands over a request that is whole, and waits for its answer. there is false if ctx
-// has ended before: nobody waits, and nothing more goes out for it. The caller releases
-// the answer.
+// Do hands over a request and waits for its answer. there is false if ctx has ended before:
+// nobody waits, and nothing more goes out for it. The caller releases the answer, and closes
+// the flow of the request's body, if it has one.
 func (e *Engine) Do(ctx context.Context, x *Request) (a Answer, there bool) {
 	x.answer = make(chan Answer, 1)
+	wait := time.Until(x.Deadline)
+	if f := x.Body.Flow(); f != nil {
+		x.came = make(chan time.Time, 1)
+		f.OnBegin(func() { e.post(func(now lynxspool.Time) { e.letGo(now, x) }) })
+		if _, known := x.Due(); !known {
+			wait = uploadMost // its own pace ends it sooner
+		}
+	}
 	e.post(func(now lynxspool.Time) { e.submit(now, x) })
-	late := time.NewTimer(time.Until(x.Deadline))
+	late := time.NewTimer(wait)
 	defer late.Stop()
-	select {
-	case a = <-x.answer:
-		return a, true
-	case <-ctx.Done():
-		if x.Close() {
-			e.abandon(x)
-		} else {
-			a = <-x.answer
-			a.Release()
-		}
-		return Answer{}, false
-	case <-late.C:
-		// The module should have answered; the client is not kept waiting for it.
-		if x.Close() {
-			e.abandon(x)
-			return Answer{Kind: Failed}, true
+	for {
+		select {
+		case a = <-x.answer:
+			return a, true
+		case due := <-x.came:
+			late.Reset(time.Until(due))
+		case <-ctx.Done():
+			if x.Close() {
+				e.abandon(x)
+			} else {
+				a = <-x.answer
+				a.Release()
+			}
+			return Answer{}, false
+		case <-late.C:
+			// The module should have answered; the client is not kept waiting for it.
+			if x.Close() {
+				e.abandon(x)
+				return Answer{Kind: Failed}, true
+			}
+			return <-x.answer, true
 		}
-		return <-x.answer, true
 	}
 }
 
+// uploadMost is how long a body may be on its way in all: a gigabyte at a modem's pace.
+const uploadMost = 24 * time.Hour
+
+// letGo is told that a byte of a request's body is about to be let go. From here on there is
+// one attempt, the one that is out, and the module has no more say: to it the request is over.
+// It learns nothing of the host, as the pace is the client's.
+func (e *Engine) letGo(now lynxspool.Time, x *Request) {
+	if x.loose || x.Over() || x.out == 0 {
+		return
+	}
+	x.loose = true
+	p := x.pool
+	p.bal.Outcome(now, lynxspool.Outcome{Request: x.id, Attempt: len(x.attempts) - 1, Result: lynxspool.Canceled, Closed: true})
+	p.perform(now)
+}
+
 // abandon says that a request was finished without the module.
 func (e *Engine) abandon(x *Request) {
 	e.post(func(now lynxspool.Time) {
 		p := x.pool
-		p.bal.Gone(now, x.id)
+		if x.loose {
+			x.attempts[len(x.attempts)-1]()
+		} else {
+			p.bal.Gone(now, x.id)
+		}
 		e.release(x)
 		p.perform(now)
 	})
@@ -156,7 +188,7 @@
 	if !x.over.Load() || x.out > 0 || e.open[x.id] != x {
 		return
 	}
-	x.last.Release()
+	x.last.discard()
 	e.leave(x)
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,13 @@
 	return f.total
 }
 
+// of is how often a request went out.
+func (f *fake) of(x *Request) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent[x]
+}
+
 type fakeHost struct {
 	f  *fake
 	id string
@@ -241,8 +249,8 @@
 				a, b := newFake("a", ends(outcome)), newFake("b", says(200, time.Millisecond))
 				w.use(testRoute(false), nil, w.pool(a, 3), w.pool(b, 3))
 				for range 20 {
-					if x, _ := w.ask(class); b.sent[x] > 0 && a.sent[x] > 0 {
-						t.Errorf("%v, class %d: sent %d times to the one and %d to the other", outcome, class, a.sent[x], b.sent[x])
+					if x, _ := w.ask(class); b.of(x) > 0 && a.of(x) > 0 {
+						t.Errorf("%v, class %d: sent %d times to the one and %d to the other", outcome, class, a.of(x), b.of(x))
 					}
 				}
 				if a.total == 0 {
@@ -265,8 +273,8 @@
 			if answer.Kind == Served {
 				served++
 			}
-			if n := a.sent[x] + b.sent[x]; n > attemptsMost || b.sent[x] > 1 {
-				t.Fatalf("%d attempts, %d of them in the second pool", n, b.sent[x])
+			if n := a.of(x) + b.of(x); n > attemptsMost || b.of(x) > 1 {
+				t.Fatalf("%d attempts, %d of them in the second pool", n, b.of(x))
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -283,7 +291,7 @@
 			if took := time.Since(began); answer.Kind != Refused || answer.RetryAfter == 0 || took > 250*time.Millisecond {
 				t.Errorf("answer %d after %v, advice %v", answer.Kind, took, answer.RetryAfter)
 			}
-			if n := a.sent[x] + b.sent[x]; n > attemptsMost {
+			if n := a.of(x) + b.of(x); n > attemptsMost {
 				t.Errorf("%d attempts", n)
 			}
 		}
@@ -419,7 +427,7 @@
 			t.Errorf("of those in flight %d were served; the pool ended %d times while a request may still come to it", served[0], w.ended["a"])
 		}
 		x := &Request{Method: "GET", Target: "/", Route: held.routes[0], Class: look, Deadline: time.Now().Add(time.Second)}
-		if got, _ := w.Do(context.Background(), x); got.Kind != Served || a.sent[x] != 1 {
+		if got, _ := w.Do(context.Background(), x); got.Kind != Served || a.of(x) != 1 {
 			t.Errorf("the last request on the old plan: %+v", got)
 		}
 		held.Release()
@@ -518,19 +526,19 @@
 		{500, look, 4}, {503, look, 4}, {503, book, 1}, {429, book, 1}, {599, book, 1},
 	} {
 		inWorld(t, func(w *world) {
-			freed := 0
+			var freed atomic.Int64
 			f := newFake("a", func(context.Context, string, *Request) Result {
-				return Result{Answered: true, Answer: Answer{Kind: Served, Status: c.status, Free: func() { freed++ }}}
+				return Result{Answered: true, Answer: Answer{Kind: Served, Status: c.status, Free: func() { freed.Add(1) }}}
 			})
 			w.use(testRoute(true), nil, w.pool(f, 6))
 			x, got := w.ask(c.class)
 			got.Release()
 			synctest.Wait()
-			if got.Kind != Served || got.Status != c.status || f.sent[x] != c.attempts {
-				t.Errorf("%d: answered %+v after %d attempts, want %d", c.status, got, f.sent[x], c.attempts)
+			if got.Kind != Served || got.Status != c.status || f.of(x) != c.attempts {
+				t.Errorf("%d: answered %+v after %d attempts, want %d", c.status, got, f.of(x), c.attempts)
 			}
-			if freed != c.attempts {
-				t.Errorf("%d: %d answers of %d were released", c.status, freed, c.attempts)
+			if freed.Load() != int64(c.attempts) {
+				t.Errorf("%d: %d answers of %d were released", c.status, freed.Load(), c.attempts)
 			}
 		})
 	}
@@ -559,10 +567,10 @@
 // the place of: it guards the memory that large answers hold.
 func TestAnswersAreReleased(t *testing.T) {
 	inWorld(t, func(w *world) {
-		freed := 0
+		var freed atomic.Int64
 		f := newFake("a", func(context.Context, string, *Request) Result {
 			time.Sleep(time.Second)
-			return Result{Answered: true, Answer: Answer{Kind: Served, Status: 200, Free: func() { freed++ }}}
+			return Result{Answered: true, Answer: Answer{Kind: Served, Status: 200, Free: func() { freed.Add(1) }}}
 		})
 		p := w.pool(f, 3)
 		w.use(testRoute(false), nil, p)
@@ -575,8 +583,8 @@
 		}
 		plan.Release()
 		time.Sleep(2 * time.Second)
-		if freed != 1 || p.Inside() != 0 {
-			t.Errorf("%d answers were released, %d requests are kept", freed, p.Inside())
+		if freed.Load() != 1 || p.Inside() != 0 {
+			t.Errorf("%d answers were released, %d requests are kept", freed.Load(), p.Inside())
 		}
 	})
 }
@@ -585,7 +593,7 @@
 // it that was not out before.
 func TestAnswerWhenTheLoopIsLate(t *testing.T) {
 	inWorld(t, func(w *world) {
-		var late []string
+		var late []string // written by an attempt, read when all have ended
 		f := newFake("a", nil)
 		f.is(func(_ context.Context, host string, x *Request) Result {
 			if x.Over() {
@@ -661,7 +669,7 @@
 			if got, _ := w.Do(context.Background(), x); got.Kind != Served {
 				t.Fatal(got)
 			}
-			pool := strings.Repeat("a", a.sent[x]) + strings.Repeat("b", b.sent[x])
+			pool := strings.Repeat("a", a.of(x)) + strings.Repeat("b", b.of(x))
 			if old := went[x.Key]; x.Key != "" && old != "" && old != pool {
 				t.Errorf("%s went to %s and to %s", x.Key, old, pool)
 			}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/body"
 	"lynxspool/internal/route"
 )
 
@@ -22,7 +23,8 @@
 	// PassOn has the client get what a host said last, also where that is no success, once
 	// the request may have no other attempt.
 	PassOn bool
-	// Plain is set for clients that bring none of our headers.
+	// Plain is set for clients that bring none of our headers. Only on such routes do bodies
+	// flow.
 	Plain *Plain
 
 	rule   *route.Route  // nil: the one pool takes all
@@ -37,6 +39,13 @@
 	Unsafe     int           // ... and of the same class where nothing may be sent again
 	Timeout    time.Duration // from its last byte to its answer
 	Repeatable []string      // methods that may be sent again though they are not safe
+
+	Hold     int64     // bytes of a request's body that are held, so that it can be sent again
+	MaxBody  int64     // bytes of a request's body; 0: any
+	Stream   bool      // the time is for the answer's head; what follows has its pace only
+	Pace     body.Pace // of clients and hosts, while a body flows
+	Upgrades int       // connections that may go over to another protocol at once; 0: none
+	Tunnels  atomic.Int64
 }
 
 // SplitBy is the header that keeps a client at one pool; "": chance.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -266,7 +266,13 @@
 	if at := e.clock.time(a.At); a.At > 0 && at.Before(until) {
 		until = at
 	}
-	ctx, cancel := context.WithDeadline(e.ctx, until)
+	var ctx context.Context
+	var cancel context.CancelFunc
+	if x.Body.Whole() {
+		ctx, cancel = context.WithDeadline(e.ctx, until)
+	} else {
+		ctx, cancel = context.WithCancel(e.ctx) // whoever waits ends it: see Do
+	}
 	x.attempts = append(x.attempts, cancel)
 	x.out++
 	x.sent++
@@ -298,18 +304,25 @@
 func (p *Pool) over(now lynxspool.Time, x *Request, n int, took time.Duration, r Result) {
 	x.out--
 	outcome := r.Outcome
+	if r.Part && x.Route.Plain != nil && outcome == lynxspool.ConnectFailed {
+		outcome = lynxspool.Reset // a server of plain HTTP may act on a part
+	}
 	if r.Answered {
 		outcome = x.Route.Judge(&r.Answer)
 		switch {
 		case outcome == lynxspool.OK && x.finish(r.Answer):
 			p.answered(false)
 		case outcome != lynxspool.OK && x.Route.PassOn && !x.Over():
-			x.last.Release()
+			x.last.discard()
 			x.last = r.Answer
 		default:
-			r.Answer.Release()
+			r.Answer.discard()
 		}
 	}
+	if x.loose {
+		p.spent(x)
+		return
+	}
 	x.proved = x.proved && neverRan(outcome)
 	x.unreached = x.unreached && (outcome == lynxspool.ConnectFailed || outcome == lynxspool.NotSent)
 	p.bal.Outcome(now, lynxspool.Outcome{
@@ -320,6 +333,23 @@
 	p.perform(now)
 }
 
+// spent is the end of the one attempt of a request whose body was let go: the client gets what
+// the host said, or a failure.
+func (p *Pool) spent(x *Request) {
+	if !x.Over() {
+		final := Answer{Kind: Failed}
+		if x.last.Kind == Served {
+			final, x.last = x.last, Answer{}
+		}
+		if x.finish(final) {
+			p.answered(false)
+		} else {
+			final.discard()
+		}
+	}
+	p.engine.release(x)
+}
+
 // neverRan says whether an outcome proves that the attempt never ran.
 func neverRan(r lynxspool.Result) bool {
 	return r == lynxspool.Full || r == lynxspool.ConnectFailed || r == lynxspool.NotSent
@@ -346,7 +376,7 @@
 		final = Answer{Kind: Refused, RetryAfter: a.After}
 	}
 	if !x.finish(final) {
-		final.Release()
+		final.discard()
 	}
 	e.release(x)
 }
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -19,6 +19,13 @@
 	Header http.Header // those that are passed on
 	Body   body.Body
 
+	// Upgrade is the protocol that the client asks to go over to, "" for none. The route has
+	// to allow it.
+	Upgrade string
+	// Inform, if set, passes on an answer that comes ahead of the final one (1xx). It is called
+	// while the request is open, and must not wait long.
+	Inform func(status int, header http.Header)
+
 	Route    *Route
 	Class    int // as the pools of the route number them
 	Tenant   int
@@ -26,8 +33,11 @@
 	Deadline time.Time // when its answer is due
 	Key      string    // what a split keeps together; "": chance
 
-	over   atomic.Bool // it is answered or nobody waits: set once, by Close
-	answer chan Answer // holds the answer that finish was won with
+	came   chan time.Time // of the last byte of a body that flows, and when its answer is due
+	due    atomic.Int64   // when the answer is due once that has come, by since; 0: not yet
+	loose  bool           // a byte of its body has been let go: nothing of it can be sent again; the loop's
+	over   atomic.Bool    // it is answered or nobody waits: set once, by Close
+	answer chan Answer    // holds the answer that finish was won with
 
 	// The rest belongs to the loop.
 	id        lynxspool.RequestID
@@ -46,8 +56,35 @@
 // Over says whether it has its answer or nobody waits for one: nothing may go out for it.
 func (x *Request) Over() bool { return x.over.Load() }
 
+// epoch is what instants kept as numbers count from.
+var epoch = time.Now()
+
+// Came says that the last byte of a body that flows has come, and when the answer is due.
+func (x *Request) Came(due time.Time) {
+	x.due.Store(int64(due.Sub(epoch)))
+	select {
+	case x.came <- due:
+	default: // it is over, or has been said
+	}
+}
+
+// Due is when the answer is due: the Deadline, or later where a body has come since. known is
+// false while it is still coming: then nothing is due yet.
+func (x *Request) Due() (at time.Time, known bool) {
+	if x.Body.Whole() {
+		return x.Deadline, true
+	}
+	if d := x.due.Load(); d != 0 {
+		return epoch.Add(time.Duration(d)), true
+	}
+	return x.Deadline, false
+}
+
 // Left is the time until its answer is due.
-func (x *Request) Left() time.Duration { return max(0, time.Until(x.Deadline)) }
+func (x *Request) Left() time.Duration {
+	at, _ := x.Due()
+	return max(0, time.Until(at))
+}
 
 // Close ends a request and says whether it was still open: whoever closes it gives the
 // answer, so that there is one.
@@ -78,18 +115,43 @@
 	Status     int         // Served
 	Header     http.Header // Served
 	Body       body.Body   // Served
+	Tunnel     Tunnel      // Served with 101: the connection as it goes on from there
 	RetryAfter time.Duration
 	Free       func() // gives back what the body holds of a budget; nil: nothing
 }
 
-// Release is called once by whoever has an Answer last.
+// Tunnel is a connection to a host that has gone over to another protocol.
+type Tunnel interface {
+	Read(p []byte) (int, error)
+	Write(p []byte) (int, error)
+	SetDeadline(at time.Time) error
+	CloseWrite() error
+	Close() error
+}
+
+// Release is called by whoever has an Answer last; a second time it does nothing.
 func (a *Answer) Release() {
+	if f := a.Body.Flow(); f != nil {
+		f.Close()
+	}
+	if a.Tunnel != nil {
+		a.Tunnel.Close()
+	}
 	if a.Free != nil {
 		a.Free()
 		a.Free = nil
 	}
 }
 
+// discard releases an answer from the loop, which must not wait for what flows to end.
+func (a *Answer) discard() {
+	if a.Body.Whole() && a.Tunnel == nil {
+		a.Release()
+		return
+	}
+	go func(a Answer) { a.Release() }(*a)
+}
+
 // Result is the end of one attempt.
 type Result struct {
 	// Answered says that a whole answer came; the rule of the route reads it. Else Outcome
@@ -98,6 +160,9 @@
 	Answered bool
 	Answer   Answer
 	Outcome  lynxspool.Result
+	// Part says that some bytes of the request went out, but not the last. By the platform's
+	// protocol that proves that nothing ran; of plain HTTP it proves nothing.
+	Part bool
 }
 
 // Ended is a Result without an answer.
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/body"
 	"lynxspool/internal/engine"
 	"lynxspool/internal/route"
 )
@@ -35,9 +36,6 @@
 	// a host's answer to the client 0.4 ms pass in 99 of 100 cases, as measured; a
 	// shared core may hold us up a few more.
 	answerMargin = 5 * time.Millisecond
-	// bodyShare is the part of the memory limit that the bodies of all requests may
-	// fill. A request out holds its body and a copy as sent; an answer as much again.
-	bodyShare = 1.0 / 8
 	// FullRetryAfter is when a request turned away for want of memory may come back:
 	// most are answered within it.
 	FullRetryAfter = 100 * time.Millisecond
@@ -51,7 +49,8 @@
 	Host   string
 	Named  string // what the Host header names, where the target names a host too
 	Header http.Header
-	Length int64 // of the body
+	Length int64 // of the body, -1 where that is not known
+	Odd    bool  // in a form that our own protocol does not have: HTTP/1.0, chunks
 }
 
 // BadRequest says why a request goes to no host, and with what status.
@@ -81,16 +80,13 @@
 type Gate struct {
 	Engine *engine.Engine
 
-	ids       ids
-	bodies    atomic.Int64 // bytes of bodies held now
-	bodiesMax int64
-	exitAt    atomic.Pointer[time.Time] // set once stopping: all answers are due by then
+	Bodies *body.Budget // memory for what requests and answers carry
+	ids    ids
+	exitAt atomic.Pointer[time.Time] // set once stopping: all answers are due by then
 }
 
-// NewGate returns a Gate for a process that may fill so many bytes.
-func NewGate(e *engine.Engine, memory int64) *Gate {
-	return &Gate{Engine: e, bodiesMax: int64(bodyShare * float64(memory))}
-}
+// NewGate returns a Gate.
+func NewGate(e *engine.Engine, bodies *body.Budget) *Gate { return &Gate{Engine: e, Bodies: bodies} }
 
 // Stop has all answers due by a time.
 func (g *Gate) Stop(exitAt time.Time) { g.exitAt.Store(&exitAt) }
@@ -123,9 +119,6 @@
 
 func (e *Entry) begin(m *Message, came time.Time) error {
 	e.Method, e.Target, e.Host, e.Header = m.Method, origin(m.Target), m.Host, m.Header
-	if m.Length > MaxBody {
-		return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", MaxBody)
-	}
 	if e.plan.Table == nil {
 		e.Route = e.plan.Route(nil)
 	} else {
@@ -145,10 +138,19 @@
 			e.Key, _ = e.header(by)
 		}
 	}
-	if e.Route.Plain != nil {
+	if p := e.Route.Plain; p != nil {
+		if p.MaxBody > 0 && m.Length > p.MaxBody {
+			return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", p.MaxBody)
+		}
 		e.plain(m)
 		return nil
 	}
+	if m.Length < 0 || m.Odd {
+		return Bad(http.StatusBadRequest, "the body needs a Content-Length, in HTTP/1.1")
+	}
+	if m.Length > MaxBody {
+		return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", MaxBody)
+	}
 	return e.protocol(m, came)
 }
 
@@ -273,34 +275,53 @@
 
 // Hold takes leave to hold n bytes of body. It guards the memory limit.
 func (e *Entry) Hold(n int64) error {
-	if e.gate.bodies.Add(n) > e.gate.bodiesMax {
-		e.gate.bodies.Add(-n)
+	if !e.gate.Bodies.Take(body.Requests, n) {
 		return Bad(http.StatusServiceUnavailable, "too much is being held, trying again is harmless")
 	}
 	e.held += n
 	return nil
 }
 
-// Came says when the last byte of the request came: its time counts from there.
-func (e *Entry) Came(at time.Time) {
-	e.Deadline = at.Add(e.left - answerMargin)
-	if exit := e.gate.exitAt.Load(); exit != nil && e.Deadline.After(*exit) {
-		e.Deadline = *exit
+// holdLess is how much is held of a body when memory for them is near its end.
+const holdLess = 4 << 10
+
+// HoldMost is how much of its body a request of a plain route may hold now.
+func (e *Entry) HoldMost() int64 {
+	if e.gate.Bodies.Near(body.Requests) {
+		return min(e.Route.Plain.Hold, holdLess)
+	}
+	return e.Route.Plain.Hold
+}
+
+// Arrived says when the last byte of the request came: its time counts from there. Of a body
+// that flows that is yet to come.
+func (e *Entry) Arrived(at time.Time) {
+	e.Deadline = e.due(at)
+}
+
+// ArrivedLate is Arrived for a body that flows, once the request is at the engine.
+func (e *Entry) ArrivedLate(at time.Time) { e.Request.Came(e.due(at)) }
+
+func (e *Entry) due(at time.Time) time.Time {
+	due := at.Add(e.left - answerMargin)
+	if exit := e.gate.exitAt.Load(); exit != nil && due.After(*exit) {
+		due = *exit
 	}
+	return due
 }
 
 // End gives back what the entry holds.
 func (e *Entry) End() {
-	e.gate.bodies.Add(-e.held)
+	if f := e.Body.Flow(); f != nil {
+		f.Close()
+	}
+	e.gate.Bodies.Give(body.Requests, e.held)
 	if e.id != "" {
 		e.gate.ids.end(e.id)
 	}
 	e.plan.Release()
 }
 
-// Bodies is how many bytes of bodies are held now, and how many may be.
-func (g *Gate) Bodies() (held, most int64) { return g.bodies.Load(), g.bodiesMax }
-
 // Open is the number of ids that are in use.
 func (g *Gate) Open() int {
 	g.ids.mu.Lock()
@@ -369,3 +390,19 @@
 	}
 	return h
 }
+
+// Trailer is what of a trailer is passed on: not what frames or routes a message, nor what
+// concerns one connection (RFC 9110, 6.5.1).
+func Trailer(h http.Header) http.Header {
+	if len(h) == 0 {
+		return nil
+	}
+	out := http.Header{}
+	for name, v := range h {
+		if !slices.Contains(hopByHop, name) && name != "Host" && name != "Content-Type" && name != "Content-Encoding" &&
+			name != "Authorization" && name != "Set-Cookie" && name != "Content-Range" {
+			out[name] = v
+		}
+	}
+	return out
+}
--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -42,8 +42,13 @@
 type clientConn struct {
 	*net.TCPConn
 	use    atomic.Int32
-	served atomic.Bool            // it has had an answer
-	odd    atomic.Pointer[[]byte] // what was read last, if it may begin a request whose target names a host
+	served atomic.Bool // it has had an answer
+	plain  bool        // requests may be of plain routes
+
+	headMu  sync.Mutex
+	head    []byte // of the request that is on, as it came
+	headEnd bool   // it is whole
+	early   byte   // the byte read last behind it, if it came alone
 
 	// clients.mu guards these.
 	in    *list.List
@@ -58,38 +63,64 @@
 // to bring its first can be closed until that is there whole.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	c.look(b[:n])
+	if c.plain && n > 0 {
+		c.look(b[:n])
+	}
 	if n > 0 && c.served.Load() && !c.use.CompareAndSwap(connFree, connTaken) && c.use.Load() == connClosed {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// methodMost is how long the methods are that a target in absolute-form may stand behind.
-const methodMost = 16
-
-// look keeps a copy of what has come where its first line has a target that is not a path.
-// net/http drops the Host header of such a request; hostHeader finds it again.
+// look keeps the head of a request as it comes, up to its end: net/http drops or settles some
+// of what is there. What is read behind the head is not looked at, until the connection is idle.
 func (c *clientConn) look(b []byte) {
-	i := bytes.IndexByte(b[:min(len(b), methodMost)], ' ')
-	if i < 0 || i+1 >= len(b) || b[i+1] == '/' {
-		if c.odd.Load() != nil {
-			c.odd.Store(nil)
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if c.headEnd {
+		// net/http reads a byte ahead while it waits for a client to leave: it may be the
+		// first of the next request.
+		if c.early = 0; len(b) == 1 {
+			c.early = b[0]
 		}
 		return
 	}
-	b = bytes.Clone(b)
-	c.odd.Store(&b)
+	from := max(0, len(c.head)-3)
+	c.head = append(c.head, b...)
+	if i := bytes.Index(c.head[from:], []byte("\r\n\r\n")); i >= 0 {
+		c.headEnd, c.head = true, c.head[:from+i+4]
+	} else if i := bytes.Index(c.head[from:], []byte("\n\n")); i >= 0 {
+		c.headEnd, c.head = true, c.head[:from+i+2]
+	} else if len(c.head) > maxRequestHead+8<<10 {
+		c.headEnd, c.head = true, nil // net/http refuses it
+	}
 }
 
-// hostHeader is the Host header of a request whose target names a host. Where the head did
-// not come by itself and in one piece it can't be told, and is empty.
-func (c *clientConn) hostHeader() string {
-	odd := c.odd.Load()
-	if odd == nil {
-		return ""
+// again has the next head kept.
+func (c *clientConn) again() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head, c.headEnd = c.head[:0], false
+	if c.early != 0 {
+		c.head = append(c.head, c.early)
+		c.early = 0
 	}
-	in := textproto.NewReader(bufio.NewReader(bytes.NewReader(*odd)))
+}
+
+// rawHead is the head of the request as it came, nil where that is not known: it came with
+// what was before it.
+func (c *clientConn) rawHead() []byte {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if !c.headEnd {
+		return nil
+	}
+	return c.head
+}
+
+// hostHeader is the Host header in a head, "" where there is not just one.
+func hostHeader(raw []byte) string {
+	in := textproto.NewReader(bufio.NewReader(bytes.NewReader(raw)))
 	if _, err := in.ReadLine(); err != nil {
 		return ""
 	}
@@ -101,7 +132,10 @@
 }
 
 // clientListener gives out clientConns.
-type clientListener struct{ net.Listener }
+type clientListener struct {
+	net.Listener
+	plain bool
+}
 
 // Accept lets the connections accepted before read what has come first: it guards
 // against taking a client for silent in a burst of connections.
@@ -111,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{TCPConn: c.(*net.TCPConn)}, nil
+	return &clientConn{TCPConn: c.(*net.TCPConn), plain: l.plain}, nil
 }
 
 // track follows the connections.
@@ -134,10 +168,13 @@
 		s.move(c, nil)
 	case http.StateIdle:
 		c.served.Store(true)
+		if c.plain {
+			c.again()
+		}
 		s.move(c, &s.idle)
 		c.use.CompareAndSwap(connTaken, connFree)
 	default:
-		s.move(c, nil)
+		s.move(c, nil) // it is closed, or has gone over to another protocol and counts no more
 		if c.use.Swap(connClosed) != connClosed {
 			s.open--
 		}
--- a/internal/front/http1/clients_test.go
+++ b/internal/front/http1/clients_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/body"
 	"lynxspool/internal/discovery"
 	"lynxspool/internal/engine"
 	"lynxspool/internal/front"
@@ -75,7 +76,7 @@
 			return route.Protocol(a.Status, a.Header.Get("X-Not-Processed") == "1")
 		},
 	}}, nil, engine.PoolUse{Pool: pool, Need: 1}))
-	g := &testGateway{T: t, gate: front.NewGate(e, 64<<20)}
+	g := &testGateway{T: t, gate: front.NewGate(e, body.NewBudget(64<<20))}
 	g.server = New(g.gate, Options{Sockets: cfg.Sockets * 48 / 100, Spare: cfg.Sockets * 2 / 100, Longest: 60 * second})
 	ln := testkit.Listen(t, "127.0.0.1:0", nil)
 	g.url = "http://" + ln.Addr().String()
@@ -171,7 +172,7 @@
 	if requests, accepted, _ := server.Counts(); requests+accepted != 0 {
 		t.Errorf("the host got %d requests on %d connections", requests, accepted)
 	}
-	if n, _ := g.gate.Bodies(); n != 0 {
+	if n, _ := g.gate.Bodies.Used(body.Requests); n != 0 {
 		t.Errorf("%d bytes of bodies are counted as held", n)
 	}
 	if n := g.gate.Open(); n != 0 {
@@ -239,7 +240,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, most := g.gate.Bodies(); x.Hold(most) != nil {
+	if _, most := g.gate.Bodies.Used(body.Requests); x.Hold(most) != nil {
 		t.Fatal("no leave to hold all there is")
 	}
 	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
@@ -252,7 +253,7 @@
 	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 200 {
 		t.Errorf("with room again: status %d", resp.StatusCode)
 	}
-	testkit.Until(t, "no body is counted any more", func() bool { held, _ := g.gate.Bodies(); return held == 0 })
+	testkit.Until(t, "no body is counted any more", func() bool { held, _ := g.gate.Bodies.Used(body.Requests); return held == 0 })
 }
 
 // In a crowd of clients that ask once and keep their connections each one is served: it
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -25,6 +25,7 @@
 	Sockets int           // connections of clients
 	Spare   int           // beyond those, before a new connection is closed at once
 	Longest time.Duration // deadline of any class
+	Plain   bool          // there may be routes for clients that know nothing of our protocol
 }
 
 // crowdedShare is the share of Sockets, in hundredths, from which there is a crowd: those of
@@ -78,6 +79,7 @@
 // Server is the side of the clients, on any number of listeners.
 type Server struct {
 	gate    *front.Gate
+	plain   bool // there may be plain routes
 	http    http.Server
 	longest atomic.Int64 // deadline of any class, a time.Duration
 	clients clients
@@ -86,11 +88,13 @@
 	listeners map[net.Listener]struct{}
 	stopping  atomic.Bool
 	leaving   atomic.Bool // connections end with their answers
+	tunnels   sync.WaitGroup
+	leave     chan struct{} // closed when tunnels have to end
 }
 
 // New returns a Server that brings its requests through gate.
 func New(gate *front.Gate, o Options) *Server {
-	s := &Server{gate: gate, listeners: map[net.Listener]struct{}{}}
+	s := &Server{gate: gate, plain: o.Plain, listeners: map[net.Listener]struct{}{}, leave: make(chan struct{})}
 	s.SetLongest(o.Longest)
 	s.clients.budget, s.clients.most = o.Sockets, o.Sockets+o.Spare
 	s.http = http.Server{
@@ -117,7 +121,7 @@
 	s.mu.Lock()
 	s.listeners[ln] = struct{}{}
 	s.mu.Unlock()
-	err := s.http.Serve(clientListener{ln})
+	err := s.http.Serve(clientListener{ln, s.plain})
 	s.mu.Lock()
 	_, there := s.listeners[ln]
 	s.mu.Unlock()
@@ -154,6 +158,7 @@
 	s.mu.Unlock()
 	s.wait(s.clients.inUse, exitAt.Add(-leaveTime))
 	s.leaving.Store(true)
+	close(s.leave)
 	s.wait(s.clients.inUse, exitAt.Add(-closeTime))
 	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
 	defer cancel()
@@ -184,12 +189,16 @@
 		s.health(w)
 		return
 	}
-	x, err := s.read(c, r, came)
+	x, err := s.read(c, w, r, came)
 	if err != nil {
 		s.turnAway(w, r, c, err)
 		return
 	}
 	defer x.End()
+	if x.Route.Plain != nil {
+		s.servePlain(w, r, c, x)
+		return
+	}
 	a, there := s.gate.Engine.Do(r.Context(), &x.Request)
 	if !there {
 		return
@@ -205,7 +214,7 @@
 	status := front.Status(err)
 	w.Header().Set("Connection", "close")
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.FormatFloat(front.FullRetryAfter.Seconds(), 'f', -1, 64))
+		w.Header().Set("Retry-After", retryAfter(front.FullRetryAfter, s.plain))
 	}
 	http.Error(w, err.Error(), status)
 	s.clients.spend(c)
@@ -229,45 +238,60 @@
 	io.WriteString(w, text)
 }
 
-// read reads a request whole. With no error it is entered.
-func (s *Server) read(c *clientConn, r *http.Request, came time.Time) (*front.Entry, error) {
-	// A length beside a Transfer-Encoding may hide another request in the body, and
-	// net/http drops the one or, in HTTP/1.0, the other unsaid. Clients of this
-	// protocol send a length, in HTTP/1.1.
-	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
-		return nil, front.Bad(http.StatusBadRequest, "the body needs a Content-Length, in HTTP/1.1")
+// read reads a request, whole but for what flows on a plain route. With no error it is entered.
+func (s *Server) read(c *clientConn, w http.ResponseWriter, r *http.Request, came time.Time) (*front.Entry, error) {
+	m := front.Message{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Length: r.ContentLength,
+		// A length beside a Transfer-Encoding may hide another request in the body, and
+		// net/http drops the one or, in HTTP/1.0, the other unsaid. Clients of our own
+		// protocol send a length, in HTTP/1.1.
+		Odd: len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1),
 	}
-	m := front.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Length: r.ContentLength}
+	raw := c.rawHead()
 	if m.Target != "" && m.Target[0] != '/' {
-		m.Named = c.hostHeader() // r.Host is what the target names
+		m.Named = hostHeader(raw) // r.Host is what the target names
 	}
 	x, err := s.gate.Begin(&m, came)
 	if err != nil {
 		return nil, err
 	}
-	if n := r.ContentLength; n > 0 {
-		if err := x.Hold(n); err != nil {
-			x.End()
-			return nil, err
-		}
-		text := make([]byte, n)
-		if _, err := io.ReadFull(r.Body, text); err != nil {
-			x.End()
-			return nil, front.Bad(http.StatusBadRequest, "the body did not arrive")
+	if x.Route.Plain != nil {
+		err = s.readPlain(c, w, r, x, raw)
+	} else if n := r.ContentLength; n > 0 {
+		err = readWhole(r, x, n)
+		came = time.Now() // a request's time counts from its last byte, which may come long after its first
+	}
+	if err != nil {
+		x.End()
+		return nil, err
+	}
+	if x.Body.Whole() {
+		if x.Route.Plain != nil && r.ContentLength != 0 {
+			came = time.Now()
 		}
-		x.Body = body.Held(text)
-		// A request's time counts from its last byte, which may come long after its first.
-		came = time.Now()
+		// The time for reading is over; left standing it would end the wait for the answer.
+		c.SetReadDeadline(time.Time{})
 	}
-	x.Came(came)
-	// The time for reading is over; left standing it would end the wait for the answer.
-	c.SetReadDeadline(time.Time{})
+	x.Arrived(came)
 	if until := x.Deadline.Add(writeTimeout); until.After(came.Add(s.http.WriteTimeout)) {
 		c.SetWriteDeadline(until) // its class came with a reload
 	}
 	return x, nil
 }
 
+// readWhole reads a body of n bytes.
+func readWhole(r *http.Request, x *front.Entry, n int64) error {
+	if err := x.Hold(n); err != nil {
+		return err
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(r.Body, text); err != nil {
+		return front.Bad(http.StatusBadRequest, "the body did not arrive")
+	}
+	x.Body = body.Held(text)
+	return nil
+}
+
 // write gives a client its answer.
 func write(w http.ResponseWriter, x *engine.Request, a *engine.Answer) {
 	switch a.Kind {
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/body"
 	"lynxspool/internal/config"
 	"lynxspool/internal/discovery"
 	"lynxspool/internal/engine"
@@ -72,7 +73,7 @@
 
 // StartAppliance serves by a file. Nothing is left behind where it fails.
 func StartAppliance(a *config.Appliance, rc *engine.RecordingConfig) (*Gateway, error) {
-	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryOf(a.Limits.MemoryMB), longest(a))
+	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryOf(a.Limits.MemoryMB), longest(a), true)
 	g.box = &box{recording: rc, pools: map[string]*boxPool{}, listeners: map[string]net.Listener{}}
 	go g.engine.Run(g.ctx)
 	if err := g.apply(a, false); err != nil {
@@ -195,7 +196,7 @@
 
 // newPool makes a pool that has no members yet.
 func (g *Gateway) newPool(a *config.Appliance, cfg config.Pool, set lynxspool.Settings, names []string) (*boxPool, error) {
-	p := &boxPool{cfg: cfg, settings: set, transport: hosts.New(hosts.Options{}), source: func() {}, sink: new(atomic.Pointer[feed])}
+	p := &boxPool{cfg: cfg, settings: set, transport: hosts.New(hosts.Options{Budget: g.gate.Bodies}), source: func() {}, sink: new(atomic.Pointer[feed])}
 	p.ctx, p.cancel = context.WithCancel(g.ctx)
 	pc := engine.PoolConfig{
 		Name: cfg.Name, Settings: set, Seed: rand.Uint64(), Transport: p.transport,
@@ -301,7 +302,11 @@
 		return out
 	}
 	i := c.index[r.Class]
-	out.Plain = &engine.Plain{Class: i, Unsafe: c.once[i], Timeout: r.Timeout, Repeatable: r.Repeatable}
+	out.Plain = &engine.Plain{
+		Class: i, Unsafe: c.once[i], Timeout: r.Timeout, Repeatable: r.Repeatable,
+		Hold: r.Hold, MaxBody: r.MaxBody, Stream: r.Stream, Upgrades: r.Upgrades,
+		Pace: body.Pace{Idle: r.Idle, Least: r.LeastRate},
+	}
 	out.PassOn = true
 	failures := r.Failures
 	out.Judge = func(a *engine.Answer) lynxspool.Result { return route.Plain(a.Status, unseen(a), failures) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/body"
 	"lynxspool/internal/config"
 	"lynxspool/internal/discovery"
 	"lynxspool/internal/engine"
@@ -50,13 +51,13 @@
 }
 
 // newGateway makes one that has no pool yet.
-func newGateway(seed uint64, sockets int, memory int64, longest time.Duration) *Gateway {
+func newGateway(seed uint64, sockets int, memory int64, longest time.Duration, plain bool) *Gateway {
 	g := &Gateway{engine: engine.New(seed), broken: make(chan error, 1), sockets: sockets, memory: memory}
-	g.gate = front.NewGate(g.engine, memory)
+	g.gate = front.NewGate(g.engine, body.NewBudget(memory))
 	g.server = http1.New(g.gate, http1.Options{
 		Sockets: sockets * clientSockets / 100,
 		Spare:   sockets*(clientSockets+clientSpare)/100 - sockets*clientSockets/100,
-		Longest: longest,
+		Longest: longest, Plain: plain,
 	})
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g
@@ -101,10 +102,10 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), longest)
+	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), longest, false)
 	transport := hosts.New(hosts.Options{
 		Sockets: int(config.HostSockets(cfg.Sockets)), Memory: int64(largeShare * float64(cfg.Memory())),
-		ConnIdle: cfg.ConnIdle, DialTimeout: cfg.DialTimeout,
+		ConnIdle: cfg.ConnIdle, DialTimeout: cfg.DialTimeout, Budget: g.gate.Bodies,
 	})
 	g.watcher = discovery.NewWatcher(cfg.Discovery, cfg.Settings.Ask, cfg.Known.Version)
 	pc := engine.PoolConfig{
--- /dev/null
+++ b/internal/host/http1/flow.go
@@ -0,0 +1,426 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lynxspool"
+	"lynxspool/internal/body"
+	"lynxspool/internal/engine"
+)
+
+const (
+	// headTime is for the head of an answer to come whole once it has begun, on plain routes.
+	headTime = 5 * time.Second
+	// expectTime is how long a host is waited for to ask for a body that it was told to
+	// expect: some servers never do (RFC 9110, 10.1.1 has the client not wait for ever).
+	expectTime = time.Second
+	// chunkRoom is left in a buffer ahead of what is read, for the size of the chunk.
+	chunkRoom = 8
+)
+
+// flows says whether what a request and its answer carry may flow: on plain routes.
+func flows(x *engine.Request) bool { return x.Route != nil && x.Route.Plain != nil }
+
+// expects says whether the host is to be asked before the body is sent: where nothing of it
+// has been asked of the client yet.
+func expects(x *engine.Request) bool {
+	return !x.Body.Whole() && len(x.Body.Bytes()) == 0
+}
+
+// upload sends the part of a request's body that flows, while the answer is waited for.
+type upload struct {
+	t       *Transport
+	c       *conn
+	x       *engine.Request
+	proceed chan struct{} // the host wants it
+	quit    chan struct{}
+	once    sync.Once
+	done    chan struct{} // closed when nothing more is sent
+
+	err    error // why it ended early
+	client bool  // ... by the client's doing
+}
+
+func (t *Transport) newUpload(c *conn, x *engine.Request) *upload {
+	u := &upload{t: t, c: c, x: x, proceed: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{})}
+	if x.Body.Whole() {
+		close(u.done)
+	} else {
+		go u.run()
+	}
+	return u
+}
+
+// stop ends the upload, if it is still on, and says whether all had been sent.
+func (u *upload) stop() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+	}
+	u.once.Do(func() {
+		close(u.quit)
+		u.x.Body.Flow().Close() // a read of the client's that waits ends
+		u.c.Conn.Close()        // and so does a write to the host
+	})
+	<-u.done
+	return false
+}
+
+func (u *upload) run() {
+	defer close(u.done)
+	if expects(u.x) {
+		select {
+		case <-u.proceed:
+		case <-time.After(expectTime):
+		case <-u.quit:
+			u.err = body.ErrTaken
+			return
+		}
+	}
+	flow := u.x.Body.Flow()
+	if u.err = flow.Take(); u.err != nil {
+		return
+	}
+	buf := u.t.bodies.Buffer()
+	if buf == nil {
+		u.err = errNoMemory
+		u.c.Conn.Close()
+		return
+	}
+	defer u.t.bodies.Return(buf)
+	chunked := u.x.Body.Len() < 0
+	meter := body.Meter{Pace: u.x.Route.Plain.Pace}
+	b := *buf
+	for {
+		n, err := flow.Read(b[chunkRoom : len(b)-2])
+		if n > 0 {
+			out := b[chunkRoom : chunkRoom+n]
+			if chunked {
+				size := strconv.AppendInt(nil, int64(n), 16)
+				at := chunkRoom - 2 - len(size)
+				copy(b[at:], size)
+				b[chunkRoom-2], b[chunkRoom-1] = '\r', '\n'
+				b[chunkRoom+n], b[chunkRoom+n+1] = '\r', '\n'
+				out = b[at : chunkRoom+n+2]
+			}
+			began := time.Now()
+			u.c.SetWriteDeadline(began.Add(meter.Wait()))
+			if _, u.err = u.c.Write(out); u.err == nil {
+				u.err = meter.Moved(n, time.Since(began))
+			}
+			if u.err == body.ErrSlow || errors.Is(u.err, os.ErrDeadlineExceeded) {
+				u.c.Conn.Close() // nobody would end the wait for an answer
+			}
+			if u.err != nil {
+				return // the host may have said why
+			}
+		}
+		switch {
+		case err == io.EOF:
+			if chunked {
+				u.c.SetWriteDeadline(time.Now().Add(meter.Wait()))
+				_, u.err = u.c.Write(lastChunk(flow.Trailer()))
+			}
+			return
+		case err != nil:
+			// Half a body is none: the host must not take it for whole.
+			u.err, u.client = err, true
+			u.c.Conn.Close()
+			return
+		}
+	}
+}
+
+// lastChunk is the end of a chunked body, with its trailer.
+func lastChunk(trailer http.Header) []byte {
+	var b strings.Builder
+	b.WriteString("0\r\n")
+	trailer.Write(&b) // to a Builder, which takes all
+	b.WriteString("\r\n")
+	return []byte(b.String())
+}
+
+var errNoMemory = errors.New("http1: no memory for what flows")
+
+// exchangePlain writes a request to a connection and reads the head of its answer; what
+// follows flows, unless it is short. By plain HTTP nothing proves that a request did not run
+// once a byte of it is out.
+func (t *Transport) exchangePlain(ctx context.Context, c *conn, x *engine.Request) engine.Result {
+	// Giving up an attempt is closing its connection.
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	pace := x.Route.Plain.Pace
+	out := encode(x)
+	c.SetWriteDeadline(time.Now().Add(pace.Idle))
+	if n, err := c.Write(out); n < len(out) || err != nil {
+		stop()
+		t.drop(c)
+		switch {
+		case n == len(out):
+			return engine.Ended(lynxspool.Reset)
+		case ctx.Err() != nil && n == 0:
+			return engine.Ended(unsent(ctx))
+		case ctx.Err() != nil:
+			return engine.Ended(lynxspool.Canceled)
+		}
+		return engine.Result{Outcome: lynxspool.ConnectFailed, Part: n > 0}
+	}
+	wrote := time.Now()
+	up := t.newUpload(c, x)
+	a, rest, err := c.readAnswer(t, x, up)
+	if err == nil && !stop() {
+		err = ctx.Err() // it was given up just now
+	}
+	if err != nil {
+		stop()
+		up.stop()
+		t.drop(c)
+		if ctx.Err() != nil {
+			t.unheard(c.host, wrote)
+		}
+		a.Free = nil
+		switch {
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+			return engine.Ended(lynxspool.TimedOut)
+		case ctx.Err() != nil || up.client:
+			return engine.Ended(lynxspool.Canceled)
+		case errors.Is(err, errSpoilt):
+			return engine.Ended(lynxspool.Spoilt)
+		}
+		return engine.Ended(lynxspool.Reset)
+	}
+	t.mu.Lock()
+	c.host.heard = time.Now()
+	t.mu.Unlock()
+	switch {
+	case a.Status == http.StatusSwitchingProtocols:
+		c.limit.N = noLimit
+		c.SetReadDeadline(time.Time{})
+		c.SetWriteDeadline(time.Time{})
+		a.Tunnel = &tunnel{conn: c, t: t}
+	case rest != nil:
+		a.Body = body.Flowing(nil, body.NewFlow(rest, rest.length))
+	default:
+		c.settle(t, up, keeps(a.Header, c))
+	}
+	return engine.Result{Answered: true, Answer: a}
+}
+
+// noLimit is for what may go on for ever.
+const noLimit = 1<<63 - 1
+
+// keeps says whether the connection can carry another request behind this answer.
+func keeps(h http.Header, c *conn) bool {
+	return c.proto == "HTTP/1.1" && c.in.Buffered() == 0 && !strings.Contains(strings.ToLower(h.Get("Connection")), "close")
+}
+
+// settle gives a connection back behind a whole answer. An upload that is still on ends: the
+// host has said all that it will.
+func (c *conn) settle(t *Transport, up *upload, keep bool) {
+	if up.stop() && keep {
+		c.SetReadDeadline(time.Time{})
+		c.SetWriteDeadline(time.Time{})
+		t.put(c)
+	} else {
+		t.drop(c)
+	}
+}
+
+// readAnswer reads the head of the final answer, and its body where that is short; else rest
+// is where the body flows from.
+func (c *conn) readAnswer(t *Transport, x *engine.Request, up *upload) (a engine.Answer, rest *answerSource, err error) {
+	began := false
+	defer func() {
+		if began && err != nil && (c.limit.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
+			err = errSpoilt
+		}
+	}()
+	for {
+		c.limit.N = maxHead
+		first, err := c.in.Peek(1)
+		if err != nil {
+			return a, nil, err
+		}
+		began = true
+		c.SetReadDeadline(time.Now().Add(headTime))
+		first, _ = c.in.Peek(min(c.in.Buffered(), len(protoPrefix)))
+		if !strings.HasPrefix(protoPrefix, string(first)) {
+			return a, nil, errSpoilt
+		}
+		if c.proto, a.Status, a.Header, err = c.readHead(); err != nil {
+			return a, nil, err
+		}
+		c.SetReadDeadline(time.Time{})
+		switch {
+		case a.Status == http.StatusContinue:
+			select {
+			case up.proceed <- struct{}{}:
+			default: // said before
+			}
+		case a.Status == http.StatusSwitchingProtocols:
+			if x.Upgrade == "" || !x.Body.Whole() {
+				return a, nil, errSpoilt // nobody has asked for that
+			}
+			a.Kind = engine.Served
+			return a, nil, nil
+		case a.Status >= 200:
+			a.Kind = engine.Served
+			rest, err = c.frame(t, x, up, &a)
+			return a, rest, err
+		case x.Inform != nil:
+			x.Inform(a.Status, a.Header)
+		}
+		began = false // those come ahead of the answer, which may take its time
+	}
+}
+
+// frame finds how the body of an answer ends (RFC 9112, 6.3), and reads it if it is short and
+// has a length. Two ways that disagree are none: what is passed on so would be read otherwise
+// by the next in the chain.
+func (c *conn) frame(t *Transport, x *engine.Request, up *upload, a *engine.Answer) (*answerSource, error) {
+	c.limit.N = noLimit
+	if bodyless(x.Method, a.Status) {
+		return nil, nil
+	}
+	lengths, encodings := a.Header["Content-Length"], a.Header["Transfer-Encoding"]
+	s := &answerSource{t: t, c: c, x: x, up: up, header: a.Header, length: -1, meter: body.Meter{Pace: x.Route.Plain.Pace}}
+	if x.Route.Plain.Stream {
+		s.meter.Least = 0 // an event stream says something when there is something to say
+	}
+	switch {
+	case len(lengths)+len(encodings) > 1:
+		return nil, errSpoilt
+	case len(lengths) == 1:
+		n, err := strconv.ParseInt(lengths[0], 10, 64)
+		if err != nil || n < 0 || strings.Trim(lengths[0], "0123456789") != "" {
+			return nil, errSpoilt
+		}
+		if n <= maxBody {
+			text := make([]byte, n)
+			c.SetReadDeadline(time.Now().Add(s.wait()))
+			if _, err := io.ReadFull(c.in, text); err != nil {
+				return nil, err
+			}
+			a.Body = body.Held(text)
+			return nil, nil
+		}
+		s.length, s.reader = n, io.LimitReader(c.in, n)
+	case len(encodings) == 1:
+		if !strings.EqualFold(strings.TrimSpace(encodings[0]), "chunked") {
+			return nil, errSpoilt
+		}
+		s.chunked, s.reader = true, httputil.NewChunkedReader(c.in)
+	default:
+		s.toEnd, s.reader = true, c.in
+	}
+	return s, nil
+}
+
+// answerSource is where the body of an answer flows from.
+type answerSource struct {
+	t      *Transport
+	c      *conn
+	x      *engine.Request
+	up     *upload
+	header http.Header
+	meter  body.Meter
+
+	reader  io.Reader
+	length  int64 // -1: not known
+	read    int64
+	chunked bool
+	toEnd   bool // the end of the connection is that of the body
+	trailer http.Header
+}
+
+// wait is how long the next read may take: the pace of the peer, and where the whole answer
+// has its time, not beyond that.
+func (s *answerSource) wait() time.Duration {
+	d := s.meter.Wait()
+	if due, known := s.x.Due(); known && !s.x.Route.Plain.Stream {
+		d = min(d, time.Until(due))
+	}
+	return d
+}
+
+// Read reads on, with the pace that the host must keep.
+func (s *answerSource) Read(p []byte) (int, error) {
+	began := time.Now()
+	s.c.SetReadDeadline(began.Add(s.wait()))
+	n, err := s.reader.Read(p)
+	s.read += int64(n)
+	if slow := s.meter.Moved(n, time.Since(began)); slow != nil && err == nil {
+		err = slow
+	}
+	if err != io.EOF {
+		return n, err
+	}
+	switch {
+	case s.length >= 0 && s.read < s.length:
+		return n, io.ErrUnexpectedEOF
+	case s.chunked:
+		if s.trailer, err = s.c.readTrailer(); err != nil {
+			return n, err
+		}
+	}
+	return n, io.EOF
+}
+
+// readTrailer reads what stands behind the last chunk.
+func (c *conn) readTrailer() (http.Header, error) {
+	c.limit.N = maxHead
+	defer func() { c.limit.N = noLimit }()
+	first, err := c.in.Peek(2)
+	if err != nil {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if string(first) == "\r\n" {
+		c.in.Discard(2)
+		return nil, nil
+	}
+	h, err := textproto.NewReader(c.in).ReadMIMEHeader()
+	if err != nil {
+		return nil, errSpoilt
+	}
+	return http.Header(h), nil
+}
+
+// Trailer is what stood behind the last chunk.
+func (s *answerSource) Trailer() http.Header { return s.trailer }
+
+// Close gives the connection back, if it can carry another request.
+func (s *answerSource) Close(whole bool) {
+	s.c.settle(s.t, s.up, whole && !s.toEnd && keeps(s.header, s.c))
+}
+
+// tunnel is a connection that has gone over to another protocol.
+type tunnel struct {
+	*conn
+	t    *Transport
+	once sync.Once
+}
+
+func (u *tunnel) Read(p []byte) (int, error)     { return u.in.Read(p) }
+func (u *tunnel) SetDeadline(at time.Time) error { return u.Conn.SetDeadline(at) }
+
+func (u *tunnel) CloseWrite() error {
+	if c, ok := u.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return u.Close()
+}
+
+func (u *tunnel) Close() error {
+	u.once.Do(func() { u.t.drop(u.conn) })
+	return nil
+}
--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -55,8 +55,12 @@
 	Memory      int64         // bytes that answers beyond maxBody may hold, all together
 	ConnIdle    time.Duration // a host closes a connection that was idle this long
 	DialTimeout time.Duration // a connection that is not up by then has failed
+	Budget      *body.Budget  // of the buffers of what flows; nil: one of its own
 }
 
+// defaultMemory is what the buffers of a Transport without a Budget are a share of.
+const defaultMemory = 64 << 20
+
 // DefaultConnIdle is shorter than what common servers keep an idle connection for.
 const DefaultConnIdle = time.Minute
 
@@ -70,6 +74,8 @@
 
 	unheardLeast time.Duration
 
+	bodies *body.Budget
+
 	large    atomic.Int64 // bytes of answers beyond maxBody that are held
 	largeMax atomic.Int64
 
@@ -112,13 +118,18 @@
 	reused  bool
 	limit   *io.LimitedReader // guards against an answer without end
 	in      *bufio.Reader
+	proto   string            // of the answer read last
 	text    *textproto.Reader // reads heads from in
 	idleAt  time.Time
 }
 
 // New returns a Transport.
 func New(o Options) *Transport {
+	if o.Budget == nil {
+		o.Budget = body.NewBudget(defaultMemory)
+	}
 	p := &Transport{
+		bodies:  o.Budget,
 		dialer:  net.Dialer{Timeout: min(cmp.Or(o.DialTimeout, connectTime), connectTime)},
 		maxIdle: time.Duration(idleShare * float64(cmp.Or(o.ConnIdle, DefaultConnIdle))),
 		budget:  o.Sockets,
@@ -289,7 +300,7 @@
 		return nil, err
 	}
 	c.Conn = nc
-	c.limit = &io.LimitedReader{R: nc}
+	c.limit = &io.LimitedReader{R: nc, N: maxHead}
 	c.in = bufio.NewReader(c.limit)
 	c.text = textproto.NewReader(c.in)
 	return c, nil
@@ -355,9 +366,12 @@
 			p.put(c)
 			return engine.Ended(lynxspool.NotSent)
 		}
-		reused := c.reused
-		r := p.exchange(ctx, c, x)
-		if !r.Answered && r.Outcome == lynxspool.ConnectFailed && reused && ctx.Err() == nil {
+		reused, exchange := c.reused, p.exchange
+		if flows(x) {
+			exchange = p.exchangePlain
+		}
+		r := exchange(ctx, c, x)
+		if !r.Answered && r.Outcome == lynxspool.ConnectFailed && reused && ctx.Err() == nil && !(flows(x) && r.Part) {
 			// It closed after the look and before the last byte: nothing ran, and
 			// that tells nothing of the host. Each round uses up one idle connection.
 			continue
@@ -395,7 +409,7 @@
 		case ctx.Err() != nil:
 			return engine.Ended(unsent(ctx))
 		}
-		return engine.Ended(lynxspool.ConnectFailed)
+		return engine.Result{Outcome: lynxspool.ConnectFailed, Part: n > 0}
 	}
 	wrote := time.Now()
 	a, keep, err := c.read(p, x.Method)
@@ -455,6 +469,9 @@
 		if proto, status, header, err = c.readHead(); err != nil {
 			return a, false, err
 		}
+		if status == http.StatusSwitchingProtocols {
+			return a, false, errSpoilt // nobody has asked for that
+		}
 		c.SetReadDeadline(time.Time{})
 		if status >= 200 {
 			break
@@ -516,7 +533,7 @@
 	proto, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
 	status, err = strconv.Atoi(code)
-	if err != nil || len(code) != 3 || status < 100 || status == http.StatusSwitchingProtocols ||
+	if err != nil || len(code) != 3 || status < 100 ||
 		proto != "HTTP/1.1" && proto != "HTTP/1.0" {
 		return "", 0, nil, errSpoilt
 	}
@@ -561,11 +578,12 @@
 	return nil, errSpoilt // nothing would tell a whole body from a cut one
 }
 
-// encode is the request as it goes to a host, with the time left as of now. The path
-// and query are put out just as they came.
+// encode is the request as it goes to a host, with the time left as of now, and with the part
+// of its body that is held. The path and query are put out just as they came.
 func encode(x *engine.Request) []byte {
+	held := x.Body.Bytes()
 	var buf bytes.Buffer
-	buf.Grow(encodedHead + int(x.Body.Len()))
+	buf.Grow(encodedHead + len(held))
 	for _, s := range []string{x.Method, " ", x.Target, " HTTP/1.1\r\nHost: ", x.Host, "\r\n"} {
 		buf.WriteString(s)
 	}
@@ -573,13 +591,31 @@
 	b := buf.AvailableBuffer()
 	b = append(b, headTimeout+": "...)
 	b = strconv.AppendFloat(b, x.Left().Seconds(), 'f', 3, 64)
-	if n := x.Body.Len(); n > 0 || !bare(x.Method) {
+	n := x.Body.Len()
+	switch {
+	case n < 0:
+		b = append(b, "\r\nTransfer-Encoding: chunked"...)
+	case n > 0 || !bare(x.Method):
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, n, 10)
 	}
+	if expects(x) {
+		b = append(b, "\r\nExpect: 100-continue"...)
+	}
+	if x.Upgrade != "" {
+		b = append(b, "\r\nConnection: Upgrade\r\nUpgrade: "...)
+		b = append(b, x.Upgrade...)
+	}
 	b = append(b, "\r\n\r\n"...)
+	if n < 0 && len(held) > 0 {
+		b = strconv.AppendInt(b, int64(len(held)), 16)
+		b = append(b, "\r\n"...)
+	}
 	buf.Write(b)
-	buf.Write(x.Body.Bytes())
+	buf.Write(held)
+	if n < 0 && len(held) > 0 {
+		buf.WriteString("\r\n")
+	}
 	return buf.Bytes()
 }
 
