--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -64,7 +64,7 @@
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if c.plain && n > 0 {
-		c.look(b[:n])
+		c.look(b[:n], len(b) == 1)
 	}
 	if n > 0 && c.served.Load() && !c.use.CompareAndSwap(connFree, connTaken) && c.use.Load() == connClosed {
 		return 0, net.ErrClosed
@@ -73,14 +73,15 @@
 }
 
 // look keeps the head of a request as it comes, up to its end: net/http drops or settles some
-// of what is there. What is read behind the head is not looked at, until the connection is idle.
-func (c *clientConn) look(b []byte) {
+// of what is there. What is read behind the head is not looked at, until the connection is
+// idle. ahead says that one byte was asked for.
+func (c *clientConn) look(b []byte, ahead bool) {
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
 	if c.headEnd {
 		// net/http reads a byte ahead while it waits for a client to leave: it may be the
 		// first of the next request.
-		if c.early = 0; len(b) == 1 {
+		if c.early = 0; ahead {
 			c.early = b[0]
 		}
 		return
--- a/internal/front/http1/clients_test.go
+++ b/internal/front/http1/clients_test.go
@@ -490,3 +490,18 @@
 		}
 	}
 }
+
+// A client that ends its side while it waits counts as gone, and gets no answer that no host
+// made: it guards against net/http's 200 for a handler that writes nothing.
+func TestHalfClosedClientGetsNoAnswer(t *testing.T) {
+	server := testkit.NewHost(t, testkit.Hang)
+	g := startGateway(t, withHosts(server))
+	c := g.dial()
+	c.SetDeadline(time.Now().Add(testkit.Patience))
+	io.WriteString(c, testkit.Look(testkit.NewID()))
+	testkit.Until(t, "the host has the request", func() bool { n, _, _ := server.Counts(); return n == 1 })
+	c.(*net.TCPConn).CloseWrite()
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -24,18 +24,18 @@
 
 // readPlain checks what net/http lets pass, and reads the part of the body that is held. What
 // is more flows.
-func (s *Server) readPlain(c *clientConn, w http.ResponseWriter, r *http.Request, x *front.Entry, raw []byte) error {
+func (s *Server) readPlain(c *clientConn, w http.ResponseWriter, r *http.Request, x *front.Entry, raw []byte, asked asked) error {
 	if err := framed(r, raw); err != nil {
 		return err
 	}
-	if upgrade(r) != "" && x.Route.Plain.Upgrades > 0 && r.ContentLength == 0 {
-		x.Upgrade = upgrade(r)
+	if x.Route.Plain.Upgrades > 0 && r.ContentLength == 0 {
+		x.Upgrade = asked.upgrade
 	}
 	n := r.ContentLength
 	if n == 0 {
 		return nil
 	}
-	asks := strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	asks := asked.leave
 	most := x.HoldMost()
 	source := &clientSource{c: c, r: r, x: x, meter: body.Meter{Pace: x.Route.Plain.Pace}, most: x.Route.Plain.MaxBody}
 	if n > 0 && n <= most && !asks {
@@ -112,7 +112,16 @@
 	return nil
 }
 
-// upgrade is the protocol that a request asks to go over to, "" for none.
+// asked is what a request asks of the connection.
+type asked struct {
+	leave   bool   // to send its body (Expect: 100-continue)
+	upgrade string // to go over to this protocol; "": it does not
+}
+
+func asksFor(r *http.Request) asked {
+	return asked{strings.EqualFold(r.Header.Get("Expect"), "100-continue"), upgrade(r)}
+}
+
 func upgrade(r *http.Request) string {
 	if v := r.Header["Upgrade"]; len(v) == 1 && r.ProtoAtLeast(1, 1) {
 		for _, c := range r.Header["Connection"] {
@@ -228,11 +237,24 @@
 	ahead := &informer{w: w}
 	x.Inform = ahead.inform
 	flow := x.Body.Flow()
-	a, there := s.gate.Engine.Do(r.Context(), &x.Request)
+	ctx := r.Context()
+	if flow != nil {
+		// net/http ends the context of a request also when reading it fails, as where the
+		// client is too slow. Then it is still there, and is told.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.WithoutCancel(ctx))
+		defer cancel()
+		defer context.AfterFunc(r.Context(), func() {
+			if flow.Err() == io.EOF {
+				cancel()
+			}
+		})()
+	}
+	a, there := s.gate.Engine.Do(ctx, &x.Request)
 	ahead.stop()
 	defer a.Release()
 	if !there {
-		return
+		panic(http.ErrAbortHandler) // net/http would answer 200
 	}
 	sending := flow != nil && flow.Err() != io.EOF // the client is
 	if sending || s.stopping.Load() && !a.Body.Whole() {
@@ -248,13 +270,13 @@
 			break
 		}
 		err = (&clientSource{most: x.Route.Plain.MaxBody}).bad(err)
-		http.Error(w, err.Error(), front.Status(err))
+		fail(w, err.Error(), front.Status(err))
 		s.linger(w, r, c, flow)
 		return
 	}
 	if a.Body.Whole() {
 		write(w, &x.Request, &a)
-	} else if err := s.pass(r.Context(), w, c, x, &a); err != nil {
+	} else if err := s.pass(ctx, w, c, x, &a); err != nil {
 		// The client must see that this is not all.
 		if flow != nil {
 			flow.Close()
@@ -284,7 +306,7 @@
 	if buf == nil {
 		a.Release()
 		w.Header().Set("Retry-After", "1")
-		http.Error(w, "too much is being held", http.StatusServiceUnavailable)
+		fail(w, "too much is being held", http.StatusServiceUnavailable)
 		return nil
 	}
 	defer s.gate.Bodies.Return(buf)
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -201,7 +201,9 @@
 	}
 	a, there := s.gate.Engine.Do(r.Context(), &x.Request)
 	if !there {
-		return
+		// Nobody waits. net/http would answer 200, which a client that has only ended its own
+		// side would take for what a host said.
+		panic(http.ErrAbortHandler)
 	}
 	write(w, &x.Request, &a)
 	a.Release()
@@ -216,7 +218,7 @@
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfter(front.FullRetryAfter, s.plain))
 	}
-	http.Error(w, err.Error(), status)
+	fail(w, err.Error(), status)
 	s.clients.spend(c)
 	if r.ContentLength == 0 {
 		return
@@ -248,6 +250,7 @@
 		Odd: len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1),
 	}
 	raw := c.rawHead()
+	asked := asksFor(r) // before what concerns the connection is taken out
 	if m.Target != "" && m.Target[0] != '/' {
 		m.Named = hostHeader(raw) // r.Host is what the target names
 	}
@@ -256,7 +259,7 @@
 		return nil, err
 	}
 	if x.Route.Plain != nil {
-		err = s.readPlain(c, w, r, x, raw)
+		err = s.readPlain(c, w, r, x, raw, asked)
 	} else if n := r.ContentLength; n > 0 {
 		err = readWhole(r, x, n)
 		came = time.Now() // a request's time counts from its last byte, which may come long after its first
@@ -313,12 +316,23 @@
 		if after := a.RetryAfter; after > 0 {
 			w.Header().Set("Retry-After", retryAfter(after, x.Route.Plain != nil))
 		}
-		http.Error(w, "turned away, trying again is harmless", http.StatusServiceUnavailable)
+		fail(w, "turned away, trying again is harmless", http.StatusServiceUnavailable)
 	default:
-		http.Error(w, "failed, it may have been done", http.StatusBadGateway)
+		fail(w, "failed, it may have been done", http.StatusBadGateway)
 	}
 }
 
+// fail answers with an error of ours. It has its length, which http.Error takes away: so it is
+// whole as soon as it is out, also where the connection ends before net/http thinks it has.
+func fail(w http.ResponseWriter, text string, status int) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("Content-Length", strconv.Itoa(len(text)+1))
+	w.WriteHeader(status)
+	io.WriteString(w, text+"\n")
+}
+
 // retryAfter words an advice: in decimals where clients know our protocol, and else in whole
 // seconds, as RFC 9110, 10.2.3 has it.
 func retryAfter(after time.Duration, plain bool) string {
