Forwarding headers, trusted proxies, PROXY protocol, header rules and bounds on heads

Hosts behind the appliance could not tell who asks, and a client could claim to be anyone. On plain routes X-Forwarded-For, -Proto, -Host and Forwarded are set, or added to where the peer is in the listener's list of trusted proxies; a listener may require the PROXY protocol, versions 1 and 2, by pires/go-proxyproto; routes set, add and remove headers both ways, but none that frames a message; heads are bounded in bytes and number.

--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"net"
+	"net/netip"
+	"net/textproto"
 	"os"
 	"reflect"
 	"slices"
@@ -12,6 +14,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/engine"
 	"lynxspool/internal/route"
 )
 
@@ -31,11 +34,15 @@
 	Cores    float64
 	MemoryMB int
 	Sockets  int
+	HeadKB   int // of a request
+	Headers  int // of a request on a plain route
 }
 
 // Listener is where clients connect.
 type Listener struct {
 	Name, Address, Protocol string
+	Trusted                 []netip.Prefix // proxies whose word about their clients is passed on
+	Proxy                   bool           // connections begin with a PROXY header
 }
 
 // Class is a kind of request.
@@ -80,6 +87,8 @@
 	Idle       time.Duration
 	LeastRate  int64 // bytes a second
 	Upgrades   int
+	Request    engine.HeaderRules // for what goes to hosts
+	Answer     engine.HeaderRules // for what goes to clients
 	RetryShare float64
 	RetryFloor float64
 }
@@ -96,6 +105,8 @@
 	maxPools          = 256 // each has a module and its share of memory
 	maxClasses        = 64
 	maxMembers        = 5000
+	defaultHeadKB     = 8        // any head in our protocol several times over, and most browsers' cookies
+	defaultHeaders    = 100      // browsers send some twenty
 	defaultHold       = 64 << 10 // what the platform's protocol holds of every body
 	holdMost          = 1 << 20  // beyond it a few requests fill what bodies may
 	defaultIdle       = 30 * time.Second
@@ -114,9 +125,15 @@
 		Cores    float64
 		MemoryMB int `toml:"memory_mb"`
 		Sockets  int
+		HeadKB   int `toml:"head_kb"`
+		Headers  int
 	}
-	Listener []struct{ Name, Address, Protocol string }
-	Class    []struct {
+	Listener []struct {
+		Name, Address, Protocol string
+		Trusted                 []string
+		Proxy                   bool `toml:"proxy_protocol"`
+	}
+	Class []struct {
 		Name   string
 		Aim    Span
 		Limit  Span `toml:"deadline"`
@@ -155,11 +172,60 @@
 		Idle       Span
 		LeastRate  *Size `toml:"least_rate"`
 		Upgrades   int
+		Request    headersFile
+		Answer     headersFile
 		RetryShare *float64 `toml:"retry_share"`
 		RetryFloor *float64 `toml:"retry_floor"`
 	}
 }
 
+// headersFile are the rules for the headers one way.
+type headersFile struct {
+	Set, Add map[string]string
+	Remove   []string
+}
+
+// framing are headers that say how a message is read, or that the gateway makes itself.
+var framing = []string{
+	"Connection", "Content-Length", "Expect", "Host", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "X-Timeout",
+}
+
+// isToken is RFC 9110, 5.6.2.
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("!#$%&'*+-.^_`|~", r))
+	})
+}
+
+// headers checks the rules for the headers of a route.
+func (c *checker) headers(n int, key string, f headersFile) (r engine.HeaderRules) {
+	name := func(s string) string {
+		if !isToken(s) {
+			c.bad("route", n, key, "%q is no name of a header", s)
+		}
+		canonical := textproto.CanonicalMIMEHeaderKey(s)
+		if slices.Contains(framing, canonical) {
+			c.bad("route", n, key, "%q is not to be changed: messages are read by it, or the gateway makes it", s)
+		}
+		return canonical
+	}
+	values := func(from map[string]string) map[string]string {
+		to := map[string]string{}
+		for s, v := range from {
+			if strings.ContainsFunc(v, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+				c.bad("route", n, key, "%s: %q can't be sent in a header", s, v)
+			}
+			to[name(s)] = v
+		}
+		return to
+	}
+	r.Set, r.Add = values(f.Set), values(f.Add)
+	for _, s := range f.Remove {
+		r.Remove = append(r.Remove, name(s))
+	}
+	return r
+}
+
 type memberFile struct {
 	ID, Address, Zone, Kind string
 	Cell                    int
@@ -222,6 +288,14 @@
 	}
 	c.within("limits", 0, "memory_mb", float64(a.Limits.MemoryMB), 16, 1<<20)
 	c.within("limits", 0, "sockets", float64(a.Limits.Sockets), leastSockets, 1<<20)
+	if a.Limits.HeadKB == 0 {
+		a.Limits.HeadKB = defaultHeadKB
+	}
+	if a.Limits.Headers == 0 {
+		a.Limits.Headers = defaultHeaders
+	}
+	c.within("limits", 0, "head_kb", float64(a.Limits.HeadKB), 1, 64)
+	c.within("limits", 0, "headers", float64(a.Limits.Headers), 8, 1000)
 	c.within("limits", 0, "cores", a.Limits.Cores, 0, 1024)
 	c.listeners(a, &f)
 	c.classes(a, &f)
@@ -258,7 +332,18 @@
 				c.bad("listener", i, "name", "%q is taken (line %d)", l.Name, c.Line("listener", k, "name"))
 			}
 		}
-		a.Listeners = append(a.Listeners, Listener(l))
+		out := Listener{Name: l.Name, Address: l.Address, Protocol: l.Protocol, Proxy: l.Proxy}
+		for _, text := range l.Trusted {
+			p, err := netip.ParsePrefix(text)
+			if addr, aerr := netip.ParseAddr(text); err != nil && aerr == nil {
+				p, err = netip.PrefixFrom(addr, addr.BitLen()), nil
+			}
+			if err != nil || p.Masked() != p {
+				c.bad("listener", i, "trusted", "%q is no address or network like \"10.0.0.0/8\"", text)
+			}
+			out.Trusted = append(out.Trusted, p)
+		}
+		a.Listeners = append(a.Listeners, out)
 	}
 }
 
@@ -457,7 +542,9 @@
 		c.within("route", i, "hold", float64(r.Hold), 0, holdMost)
 		c.within("route", i, "idle", r.Idle.Seconds(), 0.1, (24 * time.Hour).Seconds())
 		c.within("route", i, "upgrades", float64(r.Upgrades), 0, 1<<16)
-		for key, set := range map[string]bool{"hold": x.Hold != nil, "max_body": x.MaxBody != 0, "stream": x.Stream, "idle": x.Idle != 0,
+		r.Request, r.Answer = c.headers(i, "request", x.Request), c.headers(i, "answer", x.Answer)
+		changes := len(r.Request.Set)+len(r.Request.Add)+len(r.Request.Remove)+len(r.Answer.Set)+len(r.Answer.Add)+len(r.Answer.Remove) > 0
+		for key, set := range map[string]bool{"request": changes, "hold": x.Hold != nil, "max_body": x.MaxBody != 0, "stream": x.Stream, "idle": x.Idle != 0,
 			"least_rate": x.LeastRate != nil, "upgrades": x.Upgrades != 0, "failures": x.Failures != nil} {
 			if set && x.Class == "" {
 				c.bad("route", i, key, "is for routes that give a class")
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -46,6 +46,8 @@
 	Pace     body.Pace // of clients and hosts, while a body flows
 	Upgrades int       // connections that may go over to another protocol at once; 0: none
 	Tunnels  atomic.Int64
+
+	Requests, Answers HeaderRules
 }
 
 // SplitBy is the header that keeps a client at one pool; "": chance.
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -50,7 +50,8 @@
 	Named  string // what the Host header names, where the target names a host too
 	Header http.Header
 	Length int64 // of the body, -1 where that is not known
-	Odd    bool  // in a form that our own protocol does not have: HTTP/1.0, chunks
+	Peer   Peer
+	Odd    bool // in a form that our own protocol does not have: HTTP/1.0, chunks
 }
 
 // BadRequest says why a request goes to no host, and with what status.
@@ -81,6 +82,9 @@
 	Engine *engine.Engine
 
 	Bodies *body.Budget // memory for what requests and answers carry
+	// HeadersMost is how many headers a request of a plain route may have; 0: any.
+	HeadersMost int
+
 	ids    ids
 	exitAt atomic.Pointer[time.Time] // set once stopping: all answers are due by then
 }
@@ -139,6 +143,9 @@
 		}
 	}
 	if p := e.Route.Plain; p != nil {
+		if n := e.gate.HeadersMost; n > 0 && count(m.Header) > n {
+			return Bad(http.StatusRequestHeaderFieldsTooLarge, "more than %d headers", n)
+		}
 		if p.MaxBody > 0 && m.Length > p.MaxBody {
 			return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", p.MaxBody)
 		}
@@ -154,6 +161,13 @@
 	return e.protocol(m, came)
 }
 
+func count(h http.Header) (n int) {
+	for _, v := range h {
+		n += len(v)
+	}
+	return n
+}
+
 // header is a header's value, as the routes see it.
 func (e *Entry) header(name string) (string, bool) {
 	v, ok := e.Header[http.CanonicalHeaderKey(name)]
@@ -268,6 +282,10 @@
 		}
 	}
 	delete(EndToEnd(e.Header), headTimeout)
+	if m.Peer.Addr.IsValid() {
+		Forward(e.Header, m.Peer, m.Host)
+	}
+	p.Requests.Apply(e.Header)
 	if id := m.Header[headID]; len(id) != 1 || !wellFormed(id[0]) {
 		e.Header[headID] = []string{fmt.Sprintf("%016x", rand.Uint64())}
 	}
--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -4,13 +4,19 @@
 	"bufio"
 	"bytes"
 	"container/list"
+	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/textproto"
 	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pires/go-proxyproto"
+
+	"lynxspool/internal/front"
 )
 
 // clients keeps the connections of clients within their budget of descriptors. Beyond
@@ -44,6 +50,9 @@
 	use    atomic.Int32
 	served atomic.Bool // it has had an answer
 	plain  bool        // requests may be of plain routes
+	opts   *ListenOptions
+	proxy  *bufio.Reader // where the PROXY header comes first: what is read ahead with it
+	client netip.Addr    // whom that names
 
 	headMu  sync.Mutex
 	head    []byte // of the request that is on, as it came
@@ -62,7 +71,7 @@
 // guards against closing it for being idle with a request half read. One that has yet
 // to bring its first can be closed until that is there whole.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.read(b)
 	if c.plain && n > 0 {
 		c.look(b[:n], len(b) == 1)
 	}
@@ -72,6 +81,58 @@
 	return n, err
 }
 
+// proxyRead is how much is read ahead with a PROXY header: the longest in use fit, with the
+// addresses of version 2 and some of what may follow them.
+const proxyRead = 512
+
+var errProxy = errors.New("http1: a connection from where PROXY headers are not taken")
+
+// read reads from the connection, behind the PROXY header where one must come first. Whoever
+// sends none, or may not, is not heard.
+func (c *clientConn) read(b []byte) (int, error) {
+	if c.opts == nil || !c.opts.Proxy {
+		return c.TCPConn.Read(b)
+	}
+	if c.proxy == nil {
+		if len(c.opts.Trusted) > 0 && !c.opts.trusts(c.addr()) {
+			return 0, errProxy
+		}
+		c.proxy = bufio.NewReaderSize(c.TCPConn, proxyRead)
+		h, err := proxyproto.Read(c.proxy)
+		if err != nil {
+			return 0, err
+		}
+		if a, ok := h.SourceAddr.(*net.TCPAddr); ok && !h.Command.IsLocal() {
+			c.client, _ = netip.AddrFromSlice(a.IP)
+		}
+	}
+	if c.proxy.Buffered() > 0 {
+		return c.proxy.Read(b)
+	}
+	return c.TCPConn.Read(b)
+}
+
+// addr is where the connection itself comes from.
+func (c *clientConn) addr() netip.Addr {
+	if a, ok := c.TCPConn.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+// peer is who a request on the connection comes from.
+func (c *clientConn) peer() front.Peer {
+	p := front.Peer{Addr: c.addr(), Proto: "http"}
+	if c.client.IsValid() {
+		p.Addr = c.client
+	}
+	p.Trusted = c.opts != nil && c.opts.trusts(p.Addr)
+	return p
+}
+
+// headKept bounds what is kept of a head: net/http refuses longer ones.
+const headKept = 72 << 10
+
 // look keeps the head of a request as it comes, up to its end: net/http drops or settles some
 // of what is there. What is read behind the head is not looked at, until the connection is
 // idle. ahead says that one byte was asked for.
@@ -92,7 +153,7 @@
 		c.headEnd, c.head = true, c.head[:from+i+4]
 	} else if i := bytes.Index(c.head[from:], []byte("\n\n")); i >= 0 {
 		c.headEnd, c.head = true, c.head[:from+i+2]
-	} else if len(c.head) > maxRequestHead+8<<10 {
+	} else if len(c.head) > headKept {
 		c.headEnd, c.head = true, nil // net/http refuses it
 	}
 }
@@ -136,6 +197,7 @@
 type clientListener struct {
 	net.Listener
 	plain bool
+	opts  *atomic.Pointer[ListenOptions]
 }
 
 // Accept lets the connections accepted before read what has come first: it guards
@@ -146,7 +208,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{TCPConn: c.(*net.TCPConn), plain: l.plain}, nil
+	return &clientConn{TCPConn: c.(*net.TCPConn), plain: l.plain, opts: l.opts.Load()}, nil
 }
 
 // track follows the connections.
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -313,6 +313,7 @@
 	flow := a.Body.Flow()
 	h := w.Header()
 	maps.Copy(h, front.EndToEnd(a.Header))
+	x.Route.Plain.Answers.Apply(h)
 	if _, there := h["Content-Type"]; !there {
 		h["Content-Type"] = nil // it is not ours to guess
 	}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -2,6 +2,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +11,8 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,6 +29,7 @@
 	Spare   int           // beyond those, before a new connection is closed at once
 	Longest time.Duration // deadline of any class
 	Plain   bool          // there may be routes for clients that know nothing of our protocol
+	Head    int           // bytes that a request's head may have; 0: maxRequestHead
 }
 
 // crowdedShare is the share of Sockets, in hundredths, from which there is a crowd: those of
@@ -85,7 +89,7 @@
 	clients clients
 
 	mu        sync.Mutex
-	listeners map[net.Listener]struct{}
+	listeners map[net.Listener]*atomic.Pointer[ListenOptions]
 	stopping  atomic.Bool
 	leaving   atomic.Bool // connections end with their answers
 	tunnels   sync.WaitGroup
@@ -94,7 +98,7 @@
 
 // New returns a Server that brings its requests through gate.
 func New(gate *front.Gate, o Options) *Server {
-	s := &Server{gate: gate, plain: o.Plain, listeners: map[net.Listener]struct{}{}, leave: make(chan struct{})}
+	s := &Server{gate: gate, plain: o.Plain, listeners: map[net.Listener]*atomic.Pointer[ListenOptions]{}, leave: make(chan struct{})}
 	s.SetLongest(o.Longest)
 	s.clients.budget, s.clients.most = o.Sockets, o.Sockets+o.Spare
 	s.http = http.Server{
@@ -104,7 +108,7 @@
 		ReadTimeout:    requestTimeout,
 		WriteTimeout:   o.Longest + writeTimeout,
 		IdleTimeout:    idleTimeout,
-		MaxHeaderBytes: maxRequestHead,
+		MaxHeaderBytes: cmp.Or(o.Head, maxRequestHead),
 		// What it would say there are lines about single bad clients.
 		ErrorLog: log.New(io.Discard, "", 0),
 
@@ -116,12 +120,39 @@
 // SetLongest says what the longest deadline of any class is by now.
 func (s *Server) SetLongest(d time.Duration) { s.longest.Store(int64(d)) }
 
+// ListenOptions are what a listener is told.
+type ListenOptions struct {
+	// Trusted are proxies: what they say of their own clients is passed on.
+	Trusted []netip.Prefix
+	// Proxy has each connection begin with a PROXY header, of version 1 or 2; from Trusted
+	// only, if there are any.
+	Proxy bool
+}
+
+func (o *ListenOptions) trusts(a netip.Addr) bool {
+	return slices.ContainsFunc(o.Trusted, func(p netip.Prefix) bool { return p.Contains(a) })
+}
+
+// Tune changes what a listener is told, for connections that are yet to come.
+func (s *Server) Tune(ln net.Listener, o ListenOptions) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listeners[ln] == nil {
+		s.listeners[ln] = new(atomic.Pointer[ListenOptions])
+	}
+	s.listeners[ln].Store(&o)
+}
+
 // Serve takes requests from ln, until Stop or Leave has closed it.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
-	s.listeners[ln] = struct{}{}
+	opts := s.listeners[ln]
+	if opts == nil {
+		opts = new(atomic.Pointer[ListenOptions])
+		s.listeners[ln] = opts
+	}
 	s.mu.Unlock()
-	err := s.http.Serve(clientListener{ln, s.plain})
+	err := s.http.Serve(clientListener{ln, s.plain, opts})
 	s.mu.Lock()
 	_, there := s.listeners[ln]
 	s.mu.Unlock()
@@ -249,6 +280,9 @@
 		// protocol send a length, in HTTP/1.1.
 		Odd: len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1),
 	}
+	if s.plain {
+		m.Peer = c.peer()
+	}
 	raw := c.rawHead()
 	asked := asksFor(r) // before what concerns the connection is taken out
 	if m.Target != "" && m.Target[0] != '/' {
@@ -302,6 +336,9 @@
 		h := w.Header()
 		length := a.Header["Content-Length"]
 		maps.Copy(h, front.EndToEnd(a.Header))
+		if x.Route.Plain != nil {
+			x.Route.Plain.Answers.Apply(h)
+		}
 		if _, there := h["Content-Type"]; !there {
 			h["Content-Type"] = nil // it is not ours to guess
 		}
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -17,6 +17,7 @@
 	"lynxspool/internal/config"
 	"lynxspool/internal/discovery"
 	"lynxspool/internal/engine"
+	"lynxspool/internal/front/http1"
 	hosts "lynxspool/internal/host/http1"
 	"lynxspool/internal/route"
 )
@@ -73,7 +74,8 @@
 
 // StartAppliance serves by a file. Nothing is left behind where it fails.
 func StartAppliance(a *config.Appliance, rc *engine.RecordingConfig) (*Gateway, error) {
-	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryOf(a.Limits.MemoryMB), longest(a), true)
+	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryOf(a.Limits.MemoryMB), http1.Options{Longest: longest(a), Plain: true, Head: a.Limits.HeadKB << 10})
+	g.gate.HeadersMost = a.Limits.Headers
 	g.box = &box{recording: rc, pools: map[string]*boxPool{}, listeners: map[string]net.Listener{}}
 	go g.engine.Run(g.ctx)
 	if err := g.apply(a, false); err != nil {
@@ -179,6 +181,9 @@
 			g.server.Leave(ln)
 		}
 	}
+	for _, l := range a.Listeners {
+		g.server.Tune(listeners[l.Address], http1.ListenOptions{Trusted: l.Trusted, Proxy: l.Proxy})
+	}
 	b.listeners = listeners
 	for _, ln := range opened {
 		g.serve(ln)
@@ -305,7 +310,7 @@
 	out.Plain = &engine.Plain{
 		Class: i, Unsafe: c.once[i], Timeout: r.Timeout, Repeatable: r.Repeatable,
 		Hold: r.Hold, MaxBody: r.MaxBody, Stream: r.Stream, Upgrades: r.Upgrades,
-		Pace: body.Pace{Idle: r.Idle, Least: r.LeastRate},
+		Pace: body.Pace{Idle: r.Idle, Least: r.LeastRate}, Requests: r.Request, Answers: r.Answer,
 	}
 	out.PassOn = true
 	failures := r.Failures
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,14 +51,12 @@
 }
 
 // newGateway makes one that has no pool yet.
-func newGateway(seed uint64, sockets int, memory int64, longest time.Duration, plain bool) *Gateway {
+func newGateway(seed uint64, sockets int, memory int64, o http1.Options) *Gateway {
 	g := &Gateway{engine: engine.New(seed), broken: make(chan error, 1), sockets: sockets, memory: memory}
 	g.gate = front.NewGate(g.engine, body.NewBudget(memory))
-	g.server = http1.New(g.gate, http1.Options{
-		Sockets: sockets * clientSockets / 100,
-		Spare:   sockets*(clientSockets+clientSpare)/100 - sockets*clientSockets/100,
-		Longest: longest, Plain: plain,
-	})
+	o.Sockets = sockets * clientSockets / 100
+	o.Spare = sockets*(clientSockets+clientSpare)/100 - o.Sockets
+	g.server = http1.New(g.gate, o)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g
 }
@@ -102,7 +100,7 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), longest, false)
+	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), http1.Options{Longest: longest})
 	transport := hosts.New(hosts.Options{
 		Sockets: int(config.HostSockets(cfg.Sockets)), Memory: int64(largeShare * float64(cfg.Memory())),
 		ConnIdle: cfg.ConnIdle, DialTimeout: cfg.DialTimeout, Budget: g.gate.Bodies,
