--- a/internal/body/budget.go
+++ b/internal/body/budget.go
@@ -62,12 +62,32 @@
 }
 
 // Buffer sizes. A small one is used when memory for flows is near its end: half the rate of
-// a large one on loopback, an eighth of its memory.
+// a large one on loopback, a sixteenth of its memory.
 const (
-	largeBuffer = 32 << 10
+	largeBuffer = 64 << 10
 	smallBuffer = 4 << 10
 )
 
+// Pages are pooled memory for bodies that are held, of up to PageMost bytes.
+const PageMost = largeBuffer
+
+// Page takes memory for n bytes to be held, of a pool where that pays. What it belongs to is
+// accounted by the caller.
+func Page(n int64) []byte {
+	if n < smallBuffer || n > PageMost {
+		return make([]byte, n)
+	}
+	return (*large.Get().(*[]byte))[:n]
+}
+
+// Recycle gives a Page back. Nobody may look at it any more.
+func Recycle(b []byte) {
+	if cap(b) == largeBuffer {
+		b = b[:largeBuffer]
+		large.Put(&b)
+	}
+}
+
 var large, small = sync.Pool{New: func() any { b := make([]byte, largeBuffer); return &b }},
 	sync.Pool{New: func() any { b := make([]byte, smallBuffer); return &b }}
 
--- a/internal/body/pace.go
+++ b/internal/body/pace.go
@@ -51,3 +51,19 @@
 	}
 	return nil
 }
+
+// Alarm keeps a deadline that need not be exact: it is set anew only when a quarter of its
+// time has passed, as setting one costs about as much as moving a kilobyte.
+type Alarm struct {
+	Set func(at time.Time) error
+	at  time.Time
+}
+
+// Within has the deadline between wait and 5/4 of it from now.
+func (a *Alarm) Within(now time.Time, wait time.Duration) {
+	if a.at.Sub(now) >= wait && a.at.Sub(now) <= wait+wait/4 {
+		return
+	}
+	a.at = now.Add(wait + wait/4)
+	a.Set(a.at) // it fails only where the connection has ended, which the next use says
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -190,6 +190,9 @@
 	}
 	x.last.discard()
 	e.leave(x)
+	if x.Done != nil {
+		x.Done()
+	}
 }
 
 // leave takes a request out of its pool.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -26,6 +26,9 @@
 	// while the request is open, and must not wait long.
 	Inform func(status int, header http.Header)
 
+	// Done, if set, is called once the request is over and no attempt uses its body any more.
+	Done func()
+
 	Route    *Route
 	Class    int // as the pools of the route number them
 	Tenant   int
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -102,6 +102,7 @@
 	plan *engine.Plan
 	id   string // "": it is not remembered
 	held int64
+	page []byte
 	left time.Duration
 }
 
@@ -297,9 +298,35 @@
 		return Bad(http.StatusServiceUnavailable, "too much is being held, trying again is harmless")
 	}
 	e.held += n
+	e.Done = e.free
 	return nil
 }
 
+// Page takes leave to hold n bytes, and memory for them.
+func (e *Entry) Page(n int64) ([]byte, error) {
+	if err := e.Hold(n); err != nil {
+		return nil, err
+	}
+	e.page = body.Page(n)
+	return e.page, nil
+}
+
+// free gives back what was held: an attempt may use it after the client has its answer.
+func (e *Entry) free() {
+	e.gate.Bodies.Give(body.Requests, e.held)
+	if e.page != nil {
+		body.Recycle(e.page)
+		e.page = nil
+	}
+}
+
+// Drop gives back what the entry holds where it never came to the engine.
+func (e *Entry) Drop() {
+	e.free()
+	e.held = 0
+	e.End()
+}
+
 // holdLess is how much is held of a body when memory for them is near its end.
 const holdLess = 4 << 10
 
@@ -328,12 +355,11 @@
 	return due
 }
 
-// End gives back what the entry holds.
+// End is called when the client has its answer, or has gone.
 func (e *Entry) End() {
 	if f := e.Body.Flow(); f != nil {
 		f.Close()
 	}
-	e.gate.Bodies.Give(body.Requests, e.held)
 	if e.id != "" {
 		e.gate.ids.end(e.id)
 	}
--- a/internal/front/http1/clients_test.go
+++ b/internal/front/http1/clients_test.go
@@ -249,7 +249,7 @@
 	if resp, _ := g.ask("look", "/api/1", ""); resp.StatusCode != 200 {
 		t.Errorf("one without a body: status %d", resp.StatusCode)
 	}
-	x.End()
+	x.Drop()
 	if resp, _ := g.ask("book", "/api/1", "b"); resp.StatusCode != 200 {
 		t.Errorf("with room again: status %d", resp.StatusCode)
 	}
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -37,12 +37,15 @@
 	}
 	asks := asked.leave
 	most := x.HoldMost()
-	source := &clientSource{c: c, r: r, x: x, meter: body.Meter{Pace: x.Route.Plain.Pace}, most: x.Route.Plain.MaxBody}
+	source := &clientSource{
+		c: c, r: r, x: x, meter: body.Meter{Pace: x.Route.Plain.Pace}, most: x.Route.Plain.MaxBody,
+		alarm: body.Alarm{Set: c.SetReadDeadline},
+	}
 	if n > 0 && n <= most && !asks {
-		if err := x.Hold(n); err != nil {
+		held, err := x.Page(n)
+		if err != nil {
 			return err
 		}
-		held := make([]byte, n)
 		if k, err := source.fill(held); int64(k) < n {
 			return source.bad(err)
 		}
@@ -51,10 +54,10 @@
 	}
 	var held []byte
 	if !asks {
-		if err := x.Hold(most); err != nil {
+		buf, err := x.Page(most)
+		if err != nil {
 			return err
 		}
-		buf := make([]byte, most)
 		k, err := source.fill(buf)
 		held = buf[:k]
 		switch {
@@ -141,6 +144,7 @@
 	r     *http.Request
 	x     *front.Entry
 	meter body.Meter
+	alarm body.Alarm
 	most  int64 // bytes; 0: any
 
 	busy   sync.Mutex // held by the Read that is on
@@ -152,11 +156,11 @@
 var errTooLong = errors.New("the body is longer than the route takes")
 
 // arm sets how long the next read may take, unless the source is closed.
-func (s *clientSource) arm() bool {
+func (s *clientSource) arm(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.closed {
-		s.c.SetReadDeadline(time.Now().Add(s.meter.Wait()))
+		s.alarm.Within(now, s.meter.Wait())
 	}
 	return !s.closed
 }
@@ -165,10 +169,10 @@
 func (s *clientSource) Read(p []byte) (int, error) {
 	s.busy.Lock()
 	defer s.busy.Unlock()
-	if !s.arm() {
+	began := time.Now()
+	if !s.arm(began) {
 		return 0, body.ErrTaken
 	}
-	began := time.Now()
 	n, err := s.r.Body.Read(p)
 	s.read += int64(n)
 	if slow := s.meter.Moved(n, time.Since(began)); slow != nil && err == nil {
@@ -321,7 +325,7 @@
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	control := http.NewResponseController(w)
-	meter := body.Meter{Pace: x.Route.Plain.Pace}
+	meter, alarm := body.Meter{Pace: x.Route.Plain.Pace}, body.Alarm{Set: c.SetWriteDeadline}
 	if err := flow.Take(); err != nil {
 		return err
 	}
@@ -336,7 +340,7 @@
 		}
 		if n > 0 {
 			began := time.Now()
-			c.SetWriteDeadline(began.Add(meter.Wait()))
+			alarm.Within(began, meter.Wait())
 			if _, err := w.Write((*buf)[:n]); err != nil {
 				return err
 			}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -299,7 +299,7 @@
 		came = time.Now() // a request's time counts from its last byte, which may come long after its first
 	}
 	if err != nil {
-		x.End()
+		x.Drop()
 		return nil, err
 	}
 	if x.Body.Whole() {
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -1,10 +1,26 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
 	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"lynxspool/internal/config"
 )
@@ -43,3 +59,322 @@
 		g.Close()
 	}
 }
+
+// TestMain lets the test binary serve as a child of BenchmarkBeside: a proxy with a process, and
+// so with CPU time and memory, of its own.
+func TestMain(m *testing.M) {
+	if kind := os.Getenv("DUNEMOOR_BENCH_PROXY"); kind != "" {
+		benchProxy(kind, os.Getenv("DUNEMOOR_BENCH_HOST"))
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// benchProxy serves in front of a host until its standard input ends.
+func benchProxy(kind, host string) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(45 << 20)
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	var addr string
+	switch kind {
+	case "dunemoor":
+		a, wrong := config.ParseAppliance("bench", strings.Replace(head, "sockets = 1024", "sockets = 4096", 1)+poolText("p", "", host)+
+			routeText("r", "pool = \"p\"\nclass = \"lookup\"\ntimeout = \"20s\"\nstream = true\nleast_rate = 0"))
+		if len(wrong) > 0 {
+			panic(wrong[0])
+		}
+		g, err := StartAppliance(a, nil)
+		if err != nil {
+			panic(err)
+		}
+		addr = g.box.listeners["127.0.0.1:0"].Addr().String()
+	case "ReverseProxy":
+		p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: host})
+		p.Transport = &http.Transport{MaxIdleConnsPerHost: 256}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		addr = ln.Addr().String()
+		go http.Serve(ln, p)
+	}
+	fmt.Println(addr)
+	io.Copy(io.Discard, os.Stdin)
+}
+
+// child is a proxy in a process of its own.
+type child struct {
+	*exec.Cmd
+	url string
+	in  io.Closer
+}
+
+func startChild(b *testing.B, kind, host string) *child {
+	c := &child{Cmd: exec.Command(os.Args[0])}
+	c.Env = append(os.Environ(), "DUNEMOOR_BENCH_PROXY="+kind, "DUNEMOOR_BENCH_HOST="+host)
+	c.Stderr = io.Discard
+	in, err := c.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := c.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		b.Fatal(err)
+	}
+	var addr string
+	if _, err := fmt.Fscan(out, &addr); err != nil {
+		b.Fatal(err)
+	}
+	c.url, c.in = "http://"+addr, in
+	b.Cleanup(func() { in.Close(); c.Wait() })
+	return c
+}
+
+// used is the CPU time of the process so far, and its peak memory in kB.
+func (c *child) used(b *testing.B) (cpu time.Duration, peak int) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+	for _, s := range f[11:13] { // utime and stime, in hundredths of a second
+		n, _ := strconv.Atoi(s)
+		cpu += time.Duration(n) * 10 * time.Millisecond
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.Process.Pid))
+	if _, rest, ok := strings.Cut(string(status), "VmHWM:"); ok {
+		fmt.Sscan(rest, &peak)
+	}
+	return cpu, peak
+}
+
+// BenchmarkBeside sends bodies up and down through the appliance and through
+// httputil.ReverseProxy, each a process on one core, in turn, and tells what a gigabyte (of large
+// bodies) or a request (of small ones) costs in CPU, the ratio of throughputs, and peak memory.
+//
+//	go test -run xxx -bench Beside -benchtime 1x ./internal/gateway
+func BenchmarkBeside(b *testing.B) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := strconv.ParseInt(r.URL.Query().Get("n"), 10, 64)
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+		zeros(w, n)
+	}))
+	defer host.Close()
+	kinds := []string{"dunemoor", "ReverseProxy"}
+	for _, size := range []int64{1 << 10, 64 << 10, 1 << 20, 64 << 20} {
+		for _, way := range []string{"up", "down"} {
+			b.Run(fmt.Sprintf("%dKiB/%s", size>>10, way), func(b *testing.B) {
+				for b.Loop() {
+					var children []*child
+					for _, k := range kinds {
+						children = append(children, startChild(b, k, host.Listener.Addr().String()))
+					}
+					took, cpu, peak, count := make([]time.Duration, 2), make([]time.Duration, 2), make([]int, 2), make([]int, 2)
+					for range 6 { // in turn, so that what else the machine does meets both
+						for i, c := range children {
+							before, _ := c.used(b)
+							began := time.Now()
+							count[i] += load(b, c.url, way, size, 300*time.Millisecond)
+							took[i] += time.Since(began)
+							after, top := c.used(b)
+							cpu[i] += after - before
+							peak[i] = top
+						}
+					}
+					for i, k := range kinds {
+						b.ReportMetric(float64(cpu[i].Microseconds())/float64(count[i]), k+"-us/op")
+						b.ReportMetric(float64(peak[i])/1024, k+"-peak-MB")
+					}
+					rate := func(i int) float64 { return float64(count[i]) / took[i].Seconds() }
+					b.ReportMetric(rate(0)/rate(1), "throughput-ratio")
+					b.ReportMetric(float64(cpu[0])/float64(count[0])/(float64(cpu[1])/float64(count[1])), "cpu-ratio")
+				}
+			})
+		}
+	}
+	b.Run("200x64MiB", func(b *testing.B) {
+		for b.Loop() {
+			for _, k := range kinds {
+				c := startChild(b, k, host.Listener.Addr().String())
+				var all sync.WaitGroup
+				for range 200 {
+					all.Go(func() {
+						var resp *http.Response
+						for { // a host that nothing is known of is not sent 200 at once
+							var err error
+							if resp, err = http.Get(c.url + fmt.Sprintf("/?n=%d", 64<<20)); err != nil {
+								b.Error(err)
+								return
+							}
+							defer resp.Body.Close()
+							if resp.StatusCode == http.StatusOK {
+								break
+							}
+							time.Sleep(50 * time.Millisecond)
+						}
+						if n, err := io.Copy(io.Discard, resp.Body); n != 64<<20 {
+							b.Error(n, err)
+						}
+					})
+				}
+				all.Wait()
+				_, peak := c.used(b)
+				b.ReportMetric(float64(peak)/1024, k+"-peak-MB")
+			}
+		}
+	})
+}
+
+var zero = make([]byte, 64<<10)
+
+func zeros(w io.Writer, n int64) {
+	for n > 0 {
+		k, err := w.Write(zero[:min(n, int64(len(zero)))])
+		if err != nil {
+			return
+		}
+		n -= int64(k)
+	}
+}
+
+// load has 8 clients ask for a time, and counts what was answered.
+func load(b *testing.B, url, way string, size int64, span time.Duration) int {
+	var n atomic.Int64
+	var all sync.WaitGroup
+	until := time.Now().Add(span)
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, WriteBufferSize: 64 << 10, ReadBufferSize: 64 << 10}
+	defer transport.CloseIdleConnections()
+	for range 8 {
+		all.Go(func() {
+			for time.Now().Before(until) {
+				target, method, body := url+fmt.Sprintf("/?n=%d", size), "GET", io.Reader(nil)
+				if way == "up" {
+					target, method, body = url+"/", "POST", io.LimitReader(endless{}, size)
+				}
+				r, _ := http.NewRequest(method, target, body)
+				if way == "up" {
+					r.ContentLength = size
+				}
+				resp, err := transport.RoundTrip(r)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode == 200 {
+					n.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	return int(n.Load())
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// BenchmarkSlowClients has 500 clients that read a byte a second and 500 that send a byte a
+// second, beside 100 normal ones, with a process of 64 MB, and tells the normal ones' p99 with and
+// without them, and the peak memory of the process.
+func BenchmarkSlowClients(b *testing.B) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		n, _ := strconv.ParseInt(r.URL.Query().Get("n"), 10, 64)
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+		zeros(w, n)
+	}))
+	defer host.Close()
+	for b.Loop() {
+		c := startChild(b, "dunemoor", host.Listener.Addr().String())
+		addr := strings.TrimPrefix(c.url, "http://")
+		alone := p99(b, c.url)
+		stop := make(chan struct{})
+		var slow sync.WaitGroup
+		var conns atomic.Int64
+		for i := range 1000 {
+			nc, err := net.Dial("tcp", addr)
+			if err != nil {
+				b.Fatal(err)
+			}
+			nc.(*net.TCPConn).SetReadBuffer(4096)
+			slow.Go(func() {
+				defer nc.Close()
+				conns.Add(1)
+				if i%2 == 0 {
+					fmt.Fprintf(nc, "GET /?n=%d HTTP/1.1\r\nHost: a\r\n\r\n", 64<<20)
+				} else {
+					fmt.Fprintf(nc, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
+				}
+				tick := time.NewTicker(time.Second)
+				defer tick.Stop()
+				one := make([]byte, 1)
+				for {
+					select {
+					case <-stop:
+						return
+					case <-tick.C:
+					}
+					var err error
+					if i%2 == 0 {
+						_, err = nc.Read(one)
+					} else {
+						_, err = nc.Write(one)
+					}
+					if err != nil {
+						return // cut off, as it should be in time
+					}
+				}
+			})
+		}
+		time.Sleep(3 * time.Second) // until the kernel's buffers are full
+		beside := p99(b, c.url)
+		_, peak := c.used(b)
+		close(stop)
+		slow.Wait()
+		b.ReportMetric(float64(alone.Microseconds())/1000, "p99-alone-ms")
+		b.ReportMetric(float64(beside.Microseconds())/1000, "p99-beside-ms")
+		b.ReportMetric(float64(peak)/1024, "peak-MB")
+	}
+}
+
+// p99 has 100 clients ask for a kilobyte ten times a second each, for 12 s.
+func p99(b *testing.B, url string) time.Duration {
+	var mu sync.Mutex
+	var took []time.Duration
+	failed := 0
+	var all sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}, Timeout: 10 * time.Second}
+	defer client.CloseIdleConnections()
+	for i := range 100 {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			for range 120 {
+				began := time.Now()
+				resp, err := client.Get(url + "/?n=1024")
+				ok := err == nil && resp.StatusCode == 200
+				if err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				d := time.Since(began)
+				mu.Lock()
+				if took = append(took, d); !ok {
+					failed++
+				}
+				mu.Unlock()
+				time.Sleep(100*time.Millisecond - min(d, 100*time.Millisecond))
+			}
+		})
+	}
+	all.Wait()
+	slices.Sort(took)
+	b.ReportMetric(float64(failed), "failed")
+	return took[len(took)*99/100]
+}
--- a/internal/host/http1/flow.go
+++ b/internal/host/http1/flow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/textproto"
@@ -100,7 +101,7 @@
 	}
 	defer u.t.bodies.Return(buf)
 	chunked := u.x.Body.Len() < 0
-	meter := body.Meter{Pace: u.x.Route.Plain.Pace}
+	meter, alarm := body.Meter{Pace: u.x.Route.Plain.Pace}, body.Alarm{Set: u.c.SetWriteDeadline}
 	b := *buf
 	for {
 		n, err := flow.Read(b[chunkRoom : len(b)-2])
@@ -115,7 +116,7 @@
 				out = b[at : chunkRoom+n+2]
 			}
 			began := time.Now()
-			u.c.SetWriteDeadline(began.Add(meter.Wait()))
+			alarm.Within(began, meter.Wait())
 			if _, u.err = u.c.Write(out); u.err == nil {
 				u.err = meter.Moved(n, time.Since(began))
 			}
@@ -160,13 +161,18 @@
 	// Giving up an attempt is closing its connection.
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	pace := x.Route.Plain.Pace
-	out := encode(x)
+	held, tail := x.Body.Bytes(), []byte(nil)
+	if x.Body.Len() < 0 && len(held) > 0 {
+		tail = crlf // of the chunk that is held
+	}
+	head := encodeHead(x, joinMost)
+	all := len(head) + len(held) + len(tail)
 	c.SetWriteDeadline(time.Now().Add(pace.Idle))
-	if n, err := c.Write(out); n < len(out) || err != nil {
+	if n, err := c.writeAll(head, held, tail); n < all || err != nil {
 		stop()
 		t.drop(c)
 		switch {
-		case n == len(out):
+		case n == all:
 			return engine.Ended(lynxspool.Reset)
 		case ctx.Err() != nil && n == 0:
 			return engine.Ended(unsent(ctx))
@@ -216,6 +222,22 @@
 	return engine.Result{Answered: true, Answer: a}
 }
 
+// joinMost is up to which size the held part of a body is copied behind the head: beyond, one
+// system call for both costs less.
+const joinMost = 2 << 10
+
+var crlf = []byte("\r\n")
+
+// writeAll writes the parts of a request by one call.
+func (c *conn) writeAll(head, held, tail []byte) (int, error) {
+	if len(held) <= joinMost {
+		return c.Write(append(append(head, held...), tail...))
+	}
+	parts := net.Buffers{head, held, tail}
+	n, err := parts.WriteTo(c.Conn)
+	return int(n), err
+}
+
 // noLimit is for what may go on for ever.
 const noLimit = 1<<63 - 1
 
@@ -294,8 +316,11 @@
 	}
 	lengths, encodings := a.Header["Content-Length"], a.Header["Transfer-Encoding"]
 	s := &answerSource{t: t, c: c, x: x, up: up, header: a.Header, length: -1, meter: body.Meter{Pace: x.Route.Plain.Pace}}
-	if x.Route.Plain.Stream {
+	s.alarm.Set = c.SetReadDeadline
+	if due, known := x.Due(); x.Route.Plain.Stream {
 		s.meter.Least = 0 // an event stream says something when there is something to say
+	} else if known {
+		s.due = due
 	}
 	switch {
 	case len(lengths)+len(encodings) > 1:
@@ -306,12 +331,14 @@
 			return nil, errSpoilt
 		}
 		if n <= maxBody {
-			text := make([]byte, n)
-			c.SetReadDeadline(time.Now().Add(s.wait()))
+			text := body.Page(n)
+			if int64(c.in.Buffered()) < n {
+				c.SetReadDeadline(time.Now().Add(s.meter.Wait()))
+			}
 			if _, err := io.ReadFull(c.in, text); err != nil {
 				return nil, err
 			}
-			a.Body = body.Held(text)
+			a.Body, a.Free = body.Held(text), func() { body.Recycle(text) }
 			return nil, nil
 		}
 		s.length, s.reader = n, io.LimitReader(c.in, n)
@@ -334,6 +361,8 @@
 	up     *upload
 	header http.Header
 	meter  body.Meter
+	alarm  body.Alarm
+	due    time.Time // of the last byte; zero: it has its pace only
 
 	reader  io.Reader
 	length  int64 // -1: not known
@@ -343,20 +372,14 @@
 	trailer http.Header
 }
 
-// wait is how long the next read may take: the pace of the peer, and where the whole answer
-// has its time, not beyond that.
-func (s *answerSource) wait() time.Duration {
-	d := s.meter.Wait()
-	if due, known := s.x.Due(); known && !s.x.Route.Plain.Stream {
-		d = min(d, time.Until(due))
-	}
-	return d
-}
-
 // Read reads on, with the pace that the host must keep.
 func (s *answerSource) Read(p []byte) (int, error) {
 	began := time.Now()
-	s.c.SetReadDeadline(began.Add(s.wait()))
+	if wait := s.meter.Wait(); s.due.IsZero() || s.due.Sub(began) > 2*wait {
+		s.alarm.Within(began, wait)
+	} else {
+		s.c.SetReadDeadline(s.due) // the whole answer has its time, and that is near
+	}
 	n, err := s.reader.Read(p)
 	s.read += int64(n)
 	if slow := s.meter.Moved(n, time.Since(began)); slow != nil && err == nil {
--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -581,9 +581,16 @@
 // encode is the request as it goes to a host, with the time left as of now, and with the part
 // of its body that is held. The path and query are put out just as they came.
 func encode(x *engine.Request) []byte {
+	held := x.Body.Bytes()
+	return append(encodeHead(x, len(held)), held...)
+}
+
+// encodeHead is the head of a request with the time left as of now, and the size of its first
+// chunk where it goes in chunks. There is room for so many bytes more.
+func encodeHead(x *engine.Request, room int) []byte {
 	held := x.Body.Bytes()
 	var buf bytes.Buffer
-	buf.Grow(encodedHead + len(held))
+	buf.Grow(encodedHead + room)
 	for _, s := range []string{x.Method, " ", x.Target, " HTTP/1.1\r\nHost: ", x.Host, "\r\n"} {
 		buf.WriteString(s)
 	}
@@ -612,10 +619,6 @@
 		b = append(b, "\r\n"...)
 	}
 	buf.Write(b)
-	buf.Write(held)
-	if n < 0 && len(held) > 0 {
-		buf.WriteString("\r\n")
-	}
 	return buf.Bytes()
 }
 
