--- a/cmd/standin/appliance.go
+++ b/cmd/standin/appliance.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"lynxspool"
@@ -10,6 +11,9 @@
 	"lynxspool/internal/standin"
 )
 
+// photo is the size of what is sent where a route takes nothing but POST: more than is held.
+const photo = 256 << 10
+
 // standFor starts a node for each member that an appliance's file lists, and makes classes of
 // requests by its routes. listen becomes the address of the first listener.
 func standFor(path string, seed uint64, b standin.Behaviour, listen *string) (*standin.Fleet, []standin.Class, error) {
@@ -40,8 +44,12 @@
 			host = strings.Replace(r.Hosts[0], "*", "any", 1)
 		}
 		if own.Class != "" {
+			effect, body := standin.Safe, ""
+			if len(r.Methods) > 0 && !slices.Contains(r.Methods, "GET") {
+				effect, body = standin.Unsafe, strings.Repeat("a photo ", photo/8)
+			}
 			classes = append(classes, standin.Class{
-				Name: r.Name, Share: 1, Timeout: own.Timeout, Path: r.Path, Host: host, Plain: true,
+				Name: r.Name, Effect: effect, Body: body, Share: 1, Timeout: own.Timeout, Path: r.Path, Host: host, Plain: true,
 			})
 			continue
 		}
--- /dev/null
+++ b/internal/body/body_test.go
@@ -0,0 +1,155 @@
+package body
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+type source struct {
+	left   int
+	closed []bool
+}
+
+func (s *source) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), s.left)
+	s.left -= n
+	return n, nil
+}
+func (s *source) Trailer() http.Header { return nil }
+func (s *source) Close(whole bool)     { s.closed = append(s.closed, whole) }
+
+// A flow is taken once, tells of it before its first byte, and is closed once: it guards against
+// a second attempt that would send what the first has let go.
+func TestFlowIsTakenOnce(t *testing.T) {
+	s := &source{left: 10}
+	f := NewFlow(s, 10)
+	begun := 0
+	f.OnBegin(func() {
+		if begun++; s.left != 10 {
+			t.Error("a byte was let go before")
+		}
+	})
+	if f.Taken() || f.Take() != nil || f.Take() != ErrTaken || !f.Taken() || begun != 1 {
+		t.Errorf("taken %t, begun %d times", f.Taken(), begun)
+	}
+	if n, err := io.Copy(io.Discard, f); n != 10 || err != nil || f.Err() != io.EOF {
+		t.Errorf("%d, %v, %v", n, err, f.Err())
+	}
+	f.Close()
+	f.Close()
+	if len(s.closed) != 1 || !s.closed[0] {
+		t.Errorf("closed %v", s.closed)
+	}
+	s = &source{left: 10}
+	f = NewFlow(s, 10)
+	f.Close()
+	if f.Take() != ErrTaken || len(s.closed) != 1 || s.closed[0] {
+		t.Errorf("a closed flow: closed %v", s.closed)
+	}
+	if b := Flowing([]byte("ab"), f); b.Whole() || b.Len() != 10 || len(b.Bytes()) != 2 || Held([]byte("ab")).Len() != 2 || !Held(nil).Whole() {
+		t.Error("lengths")
+	}
+}
+
+// A peer is too slow by the time that it was waited for alone, over a window: one byte at a time
+// is found out, a pause of the other side is not held against it.
+func TestPace(t *testing.T) {
+	m := Meter{Pace: Pace{Idle: 30 * time.Second, Least: 100}}
+	for i := range 9 {
+		if err := m.Moved(1, time.Second); err != nil {
+			t.Fatalf("after %d s: %v", i+1, err)
+		}
+	}
+	if m.Wait() != time.Second {
+		t.Errorf("it may wait %v in the last second of a window", m.Wait())
+	}
+	if m.Moved(1, time.Second) != ErrSlow {
+		t.Error("ten bytes in ten seconds are fast enough")
+	}
+	for range 100 {
+		if err := m.Moved(100, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 1000 { // what the other side takes does not count
+		if err := m.Moved(1, time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+	any := Meter{Pace: Pace{Idle: time.Minute}}
+	if any.Moved(0, time.Hour) != nil || any.Wait() != time.Minute {
+		t.Error("without a least rate any is fast enough")
+	}
+}
+
+// What is taken is bounded by cause, given back whole, and less is taken near the end.
+func TestBudget(t *testing.T) {
+	b := NewBudget(1 << 20)
+	_, most := b.Used(Requests)
+	if most != 1<<17 || !b.Take(Requests, most) || b.Take(Requests, 1) {
+		t.Errorf("%d bytes for requests", most)
+	}
+	if !b.Take(Answers, 1<<18) || b.Take(Answers, 1) {
+		t.Error("one cause takes the part of another")
+	}
+	b.Give(Requests, most)
+	if b.Near(Requests) || !b.Near(Answers) {
+		t.Error("near its end")
+	}
+	var bufs []*[]byte
+	sizes := map[int]int{}
+	for {
+		buf := b.Buffer()
+		if buf == nil {
+			break
+		}
+		sizes[len(*buf)]++
+		bufs = append(bufs, buf)
+	}
+	if used, most := b.Used(Flows); used > most || sizes[largeBuffer] != 2 || sizes[smallBuffer] != 0 {
+		t.Errorf("%d of %d bytes, buffers %v", used, most, sizes)
+	}
+	for _, buf := range bufs {
+		b.Return(buf)
+	}
+	for c := range causes {
+		used, _ := b.Used(c)
+		if c != Answers && used != 0 {
+			t.Errorf("%v: %d bytes were not given back", c, used)
+		}
+	}
+	page := Page(5000)
+	if len(page) != 5000 || cap(page) != largeBuffer || len(Page(100)) != 100 || len(Page(PageMost+1)) != PageMost+1 {
+		t.Errorf("pages of %d in %d", len(page), cap(page))
+	}
+	Recycle(page)
+	Recycle(make([]byte, 10)) // not of a pool
+}
+
+// A deadline is set anew only when a quarter of its time has passed, and is never nearer than
+// asked for.
+func TestAlarm(t *testing.T) {
+	set := 0
+	var last time.Time
+	a := Alarm{Set: func(at time.Time) error { set++; last = at; return nil }}
+	now := time.Unix(1000, 0)
+	for range 10_000 {
+		a.Within(now, 10*time.Second)
+		if d := last.Sub(now); d < 10*time.Second || d > 12500*time.Millisecond {
+			t.Fatalf("%v from now", d)
+		}
+		now = now.Add(time.Millisecond)
+	}
+	if set < 4 || set > 6 {
+		t.Errorf("set %d times in 10 s", set)
+	}
+	a.Within(now, time.Second)
+	if d := last.Sub(now); d > 1250*time.Millisecond {
+		t.Errorf("a shorter wait is %v", d)
+	}
+}
--- a/internal/gateway/flow_test.go
+++ b/internal/gateway/flow_test.go
@@ -840,3 +840,74 @@
 }
 
 func bodyCause(i int) body.Cause { return body.Cause(i) }
+
+// Two hosts of three answer 503: a GET is served by the third, a POST is not sent again and its
+// client gets what its host said.
+func TestTwoOfThreeAreDown(t *testing.T) {
+	var posts, gets atomic.Int64
+	var nodes []string
+	for i := range 3 {
+		addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == "POST" {
+				posts.Add(1)
+			} else {
+				gets.Add(1)
+			}
+			if i < 2 {
+				http.Error(w, "no: mending", http.StatusServiceUnavailable)
+				return
+			}
+			io.WriteString(w, "yes")
+		})
+		nodes = append(nodes, addr)
+	}
+	g := startAppliance(t, uploads("retry_share = 3.0\nretry_floor = 100.0", nodes...))
+	for i := range 20 {
+		before := posts.Load()
+		resp, text := fetch(t, "POST", g.urls[0]+"/", "x")
+		if n := posts.Load() - before; n != 1 {
+			t.Errorf("POST %d was sent %d times", i, n)
+		}
+		if resp.StatusCode == 503 && text != "no: mending\n" || resp.StatusCode != 503 && text != "yes" {
+			t.Errorf("POST %d: %d %q", i, resp.StatusCode, text)
+		}
+		if resp, text := fetch(t, "GET", g.urls[0]+"/", ""); resp.StatusCode != 200 || text != "yes" {
+			t.Errorf("GET %d: %d %q", i, resp.StatusCode, text)
+		}
+	}
+}
+
+// At the exit of a drain, streams that are still on end so that their clients can tell, and
+// everything else has had its answer.
+func TestStreamsAtTheExit(t *testing.T) {
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, "data: 1\n\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	g := startAppliance(t, uploads("stream = true", addr))
+	var streams []io.ReadCloser
+	for range 10 {
+		resp, err := http.Get(g.urls[0] + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(resp.Body, make([]byte, 9)); err != nil {
+			t.Fatal(err)
+		}
+		streams = append(streams, resp.Body)
+	}
+	done := make(chan struct{})
+	go func() {
+		g.Stop(time.Second)
+		g.Gateway.Close() // as the end of the process does
+		close(done)
+	}()
+	for i, s := range streams {
+		if _, err := io.Copy(io.Discard, s); err == nil {
+			t.Errorf("stream %d was taken for whole", i)
+		}
+		s.Close()
+	}
+	<-done
+}
--- a/view.go
+++ b/view.go
@@ -82,4 +82,6 @@
 // Usable is how many of the hosts that this Balancer draws from are ready and have answered
 // since they were last ejected, if they ever were, and how many are ready. It costs the same
 // however many there are, and says nothing (0 of 0) before the first request after a new list.
-func (b *Balancer) Usable() (usable, ready int) { return b.tally.listed - b.tally.failing, b.tally.listed }
+func (b *Balancer) Usable() (usable, ready int) {
+	return b.tally.listed - b.tally.failing, b.tally.listed
+}
