Limits: the gateway's own overload, client rates and places, tenants' shares, at the gate

Nothing watched the gateway itself, and one client or tenant could take what others need.

Both are asked in the gate before a body is read; a connection that was turned away goes on. On in the appliance, off on the platform.

--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -15,6 +15,7 @@
 
 	"lynxspool"
 	"lynxspool/internal/engine"
+	"lynxspool/internal/fair"
 	"lynxspool/internal/route"
 )
 
@@ -22,6 +23,7 @@
 type Appliance struct {
 	Name      string
 	Limits    Limits
+	Tenants   []fair.Tenant
 	Listeners []Listener
 	Classes   []Class
 	Pools     []Pool
@@ -36,6 +38,12 @@
 	Sockets  int
 	HeadKB   int // of a request
 	Headers  int // of a request on a plain route
+	// NoOverload has the gateway shed nothing for its own sake.
+	NoOverload bool
+	Clients    fair.ClientLimits
+	ClientsKB  int // of the table of clients
+	Tenants    fair.TenantLimits
+	TenantName string // header that names the tenant
 }
 
 // Listener is where clients connect.
@@ -105,6 +113,8 @@
 	maxPools          = 256 // each has a module and its share of memory
 	maxClasses        = 64
 	maxMembers        = 5000
+	defaultTableKB    = 512 // 16,384 clients
+	maxTenants        = 1024
 	defaultHeadKB     = 8        // any head in our protocol several times over, and most browsers' cookies
 	defaultHeaders    = 100      // browsers send some twenty
 	defaultHold       = 64 << 10 // what the platform's protocol holds of every body
@@ -127,6 +137,21 @@
 		Sockets  int
 		HeadKB   int `toml:"head_kb"`
 		Headers  int
+		Overload *bool
+		Client   struct {
+			Rate, Burst float64
+			Concurrent  int
+			TableKB     int `toml:"table_kb"`
+		}
+		Tenants struct {
+			Rate       float64
+			Concurrent int
+			Header     string
+		}
+	}
+	Tenant []struct {
+		Name   string
+		Weight float64
 	}
 	Listener []struct {
 		Name, Address, Protocol string
@@ -275,7 +300,9 @@
 	if c.wrong = c.DecodeAll(&f); len(c.wrong) > 0 && reflect.ValueOf(f).IsZero() {
 		return nil, c.wrong // it is no TOML
 	}
-	a := &Appliance{Name: f.Name, Limits: Limits(f.Limits)}
+	a := &Appliance{Name: f.Name, Limits: Limits{
+		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, HeadKB: f.Limits.HeadKB, Headers: f.Limits.Headers,
+	}}
 	if a.Name == "" {
 		c.bad("", 0, "name", "is missing: what this gateway is called")
 	}
@@ -297,6 +324,7 @@
 	c.within("limits", 0, "head_kb", float64(a.Limits.HeadKB), 1, 64)
 	c.within("limits", 0, "headers", float64(a.Limits.Headers), 8, 1000)
 	c.within("limits", 0, "cores", a.Limits.Cores, 0, 1024)
+	c.fairness(a, &f)
 	c.listeners(a, &f)
 	c.classes(a, &f)
 	c.pools(a, &f)
@@ -307,6 +335,49 @@
 	return a, nil
 }
 
+// fairness reads what clients and tenants may take.
+func (c *checker) fairness(a *Appliance, f *applianceFile) {
+	l, x := &a.Limits, &f.Limits
+	l.NoOverload = x.Overload != nil && !*x.Overload
+	l.Clients = fair.ClientLimits{Rate: x.Client.Rate, Burst: x.Client.Burst, Concurrent: x.Client.Concurrent}
+	if l.Clients.Burst == 0 {
+		l.Clients.Burst = 2 * l.Clients.Rate
+	}
+	if l.ClientsKB = x.Client.TableKB; l.ClientsKB == 0 {
+		l.ClientsKB = defaultTableKB
+	}
+	l.Tenants = fair.TenantLimits{Rate: x.Tenants.Rate, Concurrent: x.Tenants.Concurrent}
+	if l.TenantName = textproto.CanonicalMIMEHeaderKey(x.Tenants.Header); l.TenantName == "" {
+		l.TenantName = "X-Tenant-Id"
+	}
+	c.within("limits.client", 0, "rate", l.Clients.Rate, 0, 1e6)
+	c.within("limits.client", 0, "burst", l.Clients.Burst, 0, 1e6)
+	c.within("limits.client", 0, "concurrent", float64(l.Clients.Concurrent), 0, 1<<20)
+	c.within("limits.client", 0, "table_kb", float64(l.ClientsKB), 16, 1<<20)
+	c.within("limits.tenants", 0, "rate", l.Tenants.Rate, 0, 1e7)
+	c.within("limits.tenants", 0, "concurrent", float64(l.Tenants.Concurrent), 0, 1<<20)
+	if len(f.Tenant) > maxTenants {
+		c.bad("tenant", maxTenants, "", "more than %d tenants", maxTenants)
+	}
+	for i, t := range f.Tenant {
+		if t.Name == "" {
+			c.bad("tenant", i, "name", "is missing")
+		}
+		c.name("tenant", i, t.Name)
+		if slices.ContainsFunc(a.Tenants, func(o fair.Tenant) bool { return o.Name == t.Name }) {
+			c.bad("tenant", i, "name", "%q is taken", t.Name)
+		}
+		if t.Weight == 0 {
+			t.Weight = 1
+		}
+		c.within("tenant", i, "weight", t.Weight, 0.001, 1e6)
+		a.Tenants = append(a.Tenants, fair.Tenant{Name: t.Name, Weight: t.Weight})
+	}
+	if len(f.Tenant) > 0 && l.Tenants == (fair.TenantLimits{}) {
+		c.bad("tenant", 0, "name", "limits.tenants sets neither rate nor concurrent: what would they share")
+	}
+}
+
 func (c *checker) listeners(a *Appliance, f *applianceFile) {
 	if len(f.Listener) == 0 {
 		c.bad("", 0, "listener", "there is none: clients could not connect")
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/overload"
 	"lynxspool/internal/route"
 )
 
@@ -26,6 +27,8 @@
 	done   chan struct{} // closed when Run has returned
 	plan   atomic.Pointer[Plan]
 	clock  clock
+	// Overload, if set before Run, is told what requests wait for the loop.
+	Overload *overload.Controller
 
 	// All below belongs to the goroutine of Run.
 	ctx    context.Context // of all attempts
@@ -101,7 +104,13 @@
 			wait = uploadMost // its own pace ends it sooner
 		}
 	}
-	e.post(func(now lynxspool.Time) { e.submit(now, x) })
+	came := time.Now()
+	e.post(func(now lynxspool.Time) {
+		if e.Overload != nil {
+			e.Overload.Delay(now, now-e.clock.at(came))
+		}
+		e.submit(now, x)
+	})
 	late := time.NewTimer(wait)
 	defer late.Stop()
 	for {
@@ -145,6 +154,14 @@
 	p.perform(now)
 }
 
+// Now is the time on the engine's clock.
+func (e *Engine) Now() lynxspool.Time { return e.clock.now() }
+
+// Sample tells the Overload how the process stands.
+func (e *Engine) Sample(s overload.Sample) {
+	e.post(func(now lynxspool.Time) { e.Overload.Sample(now, s) })
+}
+
 // abandon says that a request was finished without the module.
 func (e *Engine) abandon(x *Request) {
 	e.post(func(now lynxspool.Time) {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -18,6 +18,9 @@
 	Classes []lynxspool.Class
 	Names   map[string]int
 	Tenants map[string]int // none: requests name none
+	// First and Repeat are where first tries and repeats of each class stand when something
+	// has to go; nil where nothing is shed.
+	First, Repeat []int
 	// Judge says what a host's answer tells the module: lynxspool.OK ends the request with it.
 	Judge func(a *Answer) lynxspool.Result
 	// PassOn has the client get what a host said last, also where that is no success, once
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -70,8 +70,12 @@
 // Status is the status that goes with an error.
 func Status(err error) int {
 	var bad *BadRequest
-	if errors.As(err, &bad) {
+	var turned *Turned
+	switch {
+	case errors.As(err, &bad):
 		return bad.Status
+	case errors.As(err, &turned):
+		return turned.Status()
 	}
 	return http.StatusBadRequest
 }
@@ -85,6 +89,9 @@
 	// HeadersMost is how many headers a request of a plain route may have; 0: any.
 	HeadersMost int
 
+	// Limits are set before the first request; nil: there are none.
+	Limits *Limits
+
 	ids    ids
 	exitAt atomic.Pointer[time.Time] // set once stopping: all answers are due by then
 }
@@ -101,6 +108,11 @@
 	gate *Gate
 	plan *engine.Plan
 	id   string // "": it is not remembered
+
+	client  uint64 // key of the client
+	counted bool   // the client's table counts it
+	tenant  int    // place of the tenant that counts it, from 1
+
 	held int64
 	page []byte
 	left time.Duration
@@ -116,6 +128,7 @@
 	}
 	e := &Entry{gate: g, plan: plan}
 	if err := e.begin(m, came); err != nil {
+		e.leave()
 		plan.Release()
 		return nil, err
 	}
@@ -150,8 +163,7 @@
 		if p.MaxBody > 0 && m.Length > p.MaxBody {
 			return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", p.MaxBody)
 		}
-		e.plain(m)
-		return nil
+		return e.plain(m)
 	}
 	if m.Length < 0 || m.Odd {
 		return Bad(http.StatusBadRequest, "the body needs a Content-Length, in HTTP/1.1")
@@ -237,6 +249,9 @@
 		return Bad(http.StatusBadRequest, "%s: missing, the class needs one", headKey)
 	}
 	e.Repeat = retried == "1"
+	if err := e.admit(m, e.Repeat); err != nil {
+		return err
+	}
 	delete(EndToEnd(e.Header), headTimeout) // hosts are told their own
 	seconds, ok := readSeconds(timeout)
 	if !ok {
@@ -261,7 +276,7 @@
 // route's, and the id is made where there is none of its own. What may be sent again is what
 // both the class and the method allow (RFC 9110, 9.2.1 and 9.2.2): of the methods that are
 // idempotent but not safe, only those that the route names.
-func (e *Entry) plain(m *Message) {
+func (e *Entry) plain(m *Message) error {
 	p := e.Route.Plain
 	e.Class = p.Class
 	switch m.Method {
@@ -276,6 +291,9 @@
 	if retried := m.Header[headRetried]; len(retried) == 1 && retried[0] == "1" {
 		e.Repeat = true
 	}
+	if err := e.admit(m, e.Repeat); err != nil {
+		return err
+	}
 	e.left = min(p.Timeout, e.Route.Classes[e.Class].Deadline)
 	if told := m.Header[headTimeout]; len(told) == 1 {
 		if s, ok := readSeconds(told[0]); ok && s < e.left.Seconds() {
@@ -290,6 +308,7 @@
 	if id := m.Header[headID]; len(id) != 1 || !wellFormed(id[0]) {
 		e.Header[headID] = []string{fmt.Sprintf("%016x", rand.Uint64())}
 	}
+	return nil
 }
 
 // Hold takes leave to hold n bytes of body. It guards the memory limit.
@@ -360,6 +379,7 @@
 	if f := e.Body.Flow(); f != nil {
 		f.Close()
 	}
+	e.leave()
 	if e.id != "" {
 		e.gate.ids.end(e.id)
 	}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -222,6 +222,14 @@
 	}
 	x, err := s.read(c, w, r, came)
 	if err != nil {
+		var turned *front.Turned
+		if errors.As(err, &turned) && r.ContentLength >= 0 && r.ContentLength <= front.MaxBody {
+			// The connection goes on: a new one would cost more than this answer. net/http
+			// reads what little body there is.
+			w.Header().Set("Retry-After", retryAfter(turned.After, s.plain))
+			fail(w, turned.Error(), turned.Status())
+			return
+		}
 		s.turnAway(w, r, c, err)
 		return
 	}
--- /dev/null
+++ b/internal/front/limits.go
@@ -0,0 +1,147 @@
+package front
+
+import (
+	"hash/maphash"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"lynxspool/internal/fair"
+	"lynxspool/internal/overload"
+)
+
+// Limits turn requests away before they cost anything: for the gateway's own sake, and so that
+// no client or tenant takes what others need. What is nil does not bind.
+type Limits struct {
+	Overload   *overload.Controller
+	Clients    *fair.Clients
+	Tenants    *fair.Tenants
+	TenantOf   map[string]int // by the value of TenantName
+	TenantName string         // header
+	Base, Most time.Duration  // of the advice when to come back
+
+	counts [refusals]atomic.Int64
+}
+
+// Refusal is a cause of turning a request away at the gate.
+type Refusal uint8
+
+// Causes.
+const (
+	ByOverload   Refusal = iota // the gateway falls behind
+	ByRate                      // the client asks more often than it may
+	ByConcurrent                // the client has too many requests out
+	ByRepeats                   // the client repeats too much
+	ByTenant                    // the tenant is over its share
+	refusals
+)
+
+var refusalNames = [...]string{"overload", "client rate", "client concurrency", "client repeats", "tenant share"}
+
+// String names the cause, for counters.
+func (r Refusal) String() string { return refusalNames[r] }
+
+// Refused is how many requests were turned away for a cause.
+func (l *Limits) Refused(r Refusal) int64 { return l.counts[r].Load() }
+
+// Turned is the error of a request that is turned away at the gate. Its connection may go on.
+type Turned struct {
+	Why   Refusal
+	After time.Duration
+}
+
+func (t *Turned) Error() string {
+	return "turned away (" + t.Why.String() + "), trying again is harmless"
+}
+
+// Status is 429 where the client can do something about it, and else 503.
+func (t *Turned) Status() int {
+	if t.Why == ByOverload || t.Why == ByTenant {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusTooManyRequests
+}
+
+// clientSeed makes the keys of clients unknown to them.
+var clientSeed = maphash.MakeSeed()
+
+func clientKey(a netip.Addr) uint64 {
+	// A household has a /64: its addresses change at will (RFC 8981).
+	if a.Is6() && !a.Is4In6() {
+		p, _ := a.WithZone("").Prefix(64)
+		a = p.Addr()
+	}
+	return maphash.Comparable(clientSeed, a.Unmap())
+}
+
+// admit says whether a request of a class is let in, and notes what End has to give back.
+func (e *Entry) admit(m *Message, repeat bool) error {
+	l := e.gate.Limits
+	if l == nil {
+		return nil
+	}
+	turned := func(why Refusal) error {
+		l.counts[why].Add(1)
+		pressure := 0.0
+		if l.Overload != nil {
+			pressure = l.Overload.Pressure()
+		}
+		after := overload.Advice(pressure, l.Base, l.Most, e.client)
+		if e.counted {
+			l.Clients.End(e.client)
+			e.counted = false
+		}
+		if l.Clients != nil && why != ByRepeats {
+			l.Clients.Away(e.gate.Engine.Now(), e.client, after)
+		}
+		return &Turned{why, after}
+	}
+	if m.Peer.Addr.IsValid() {
+		e.client = clientKey(m.Peer.Addr)
+	}
+	if l.Clients != nil && m.Peer.Addr.IsValid() {
+		var v fair.Verdict
+		switch v, repeat = l.Clients.Begin(e.gate.Engine.Now(), e.client, repeat); v {
+		case fair.Rate:
+			return turned(ByRate)
+		case fair.Concurrent:
+			return turned(ByConcurrent)
+		case fair.Repeats:
+			return turned(ByRepeats)
+		}
+		e.counted = true
+	}
+	if l.Overload != nil && e.Route.First != nil {
+		rank := e.Route.First[e.Class]
+		if repeat {
+			rank = e.Route.Repeat[e.Class]
+		}
+		if !l.Overload.Admit(rank, rand.Float64()) {
+			return turned(ByOverload)
+		}
+	}
+	if l.Tenants != nil {
+		name, _ := e.header(l.TenantName)
+		if i, known := l.TenantOf[name]; known {
+			if l.Tenants.Begin(e.gate.Engine.Now(), i) != fair.Admitted {
+				return turned(ByTenant)
+			}
+			e.tenant = i + 1
+		}
+	}
+	return nil
+}
+
+// leave gives back what admit took.
+func (e *Entry) leave() {
+	if e.counted {
+		e.gate.Limits.Clients.End(e.client)
+		e.counted = false
+	}
+	if e.tenant > 0 {
+		e.gate.Limits.Tenants.End(e.tenant - 1)
+		e.tenant = 0
+	}
+}
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -19,6 +19,7 @@
 	"lynxspool/internal/engine"
 	"lynxspool/internal/front/http1"
 	hosts "lynxspool/internal/host/http1"
+	"lynxspool/internal/overload"
 	"lynxspool/internal/route"
 )
 
@@ -77,7 +78,11 @@
 	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryOf(a.Limits.MemoryMB), http1.Options{Longest: longest(a), Plain: true, Head: a.Limits.HeadKB << 10})
 	g.gate.HeadersMost = a.Limits.Headers
 	g.box = &box{recording: rc, pools: map[string]*boxPool{}, listeners: map[string]net.Listener{}}
+	g.limits(a)
 	go g.engine.Run(g.ctx)
+	if g.engine.Overload != nil {
+		go g.watchSelf(g.ctx)
+	}
 	if err := g.apply(a, false); err != nil {
 		g.Close()
 		return nil, err
@@ -156,7 +161,7 @@
 	var routes []*engine.Route
 	var retries []engine.Retries
 	for i, r := range a.Routes {
-		routes = append(routes, routeOf(a.Table.Routes()[i].Name, r, classes))
+		routes = append(routes, routeOf(a.Table.Routes()[i].Name, r, classes, !a.Limits.NoOverload))
 		retries = append(retries, engine.Retries{Share: r.RetryShare, Floor: r.RetryFloor})
 	}
 	plan := g.engine.NewPlan(a.Table, routes, retries, uses...)
@@ -174,6 +179,13 @@
 		p.cfg = cfg
 	}
 	g.server.SetLongest(longest(a))
+	if l := g.gate.Limits; l.Clients != nil {
+		l.Clients.Set(a.Limits.Clients)
+	}
+	if c := g.engine.Overload; c != nil {
+		_, _, n := overload.Ranks(rankList(classes))
+		c.SetRanks(n)
+	}
 	g.engine.Use(plan)
 	b.pools, b.file = pools, a
 	for addr, ln := range b.listeners {
@@ -298,11 +310,14 @@
 }
 
 // routeOf is a route of the file for the engine.
-func routeOf(name string, r config.Route, c *classes) *engine.Route {
+func routeOf(name string, r config.Route, c *classes, shed bool) *engine.Route {
 	out := &engine.Route{
 		Name: name, Classes: c.list, Names: c.index,
 		Judge: func(a *engine.Answer) lynxspool.Result { return route.Protocol(a.Status, unseen(a)) },
 	}
+	if shed {
+		out.First, out.Repeat, _ = overload.Ranks(rankList(c))
+	}
 	if r.Class == "" {
 		return out
 	}
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"math/rand/v2"
+	"os"
+	"runtime/metrics"
+	"time"
+
+	"lynxspool/internal/config"
+	"lynxspool/internal/fair"
+	"lynxspool/internal/front"
+	"lynxspool/internal/overload"
+)
+
+const (
+	// adviceBase is what a client is told to stay away when nothing presses. Ordinary clients
+	// hear whole seconds: so that they come back spread, it is several.
+	adviceBase = 4 * time.Second
+	// adviceMost is the longest that a refusal at the gate tells a client to stay away.
+	adviceMost = 30 * time.Second
+	// filesEvery is how often descriptors are counted, which costs as much as they are many.
+	filesEvery = 10 // samples
+)
+
+// limits sets up what turns requests away at the gate.
+func (g *Gateway) limits(a *config.Appliance) {
+	l := &front.Limits{Base: adviceBase, Most: adviceMost, TenantName: a.Limits.TenantName, TenantOf: map[string]int{}}
+	if !a.Limits.NoOverload {
+		_, _, n := overload.Ranks(rankList(classesOf(a)))
+		l.Overload = overload.New(n)
+		g.engine.Overload = l.Overload
+	}
+	if c := a.Limits.Clients; c != (fair.ClientLimits{}) {
+		l.Clients = fair.NewClients(c, a.Limits.ClientsKB<<10, rand.Uint64())
+	}
+	if len(a.Tenants) > 0 {
+		l.Tenants = fair.NewTenants(a.Tenants, a.Limits.Tenants)
+		for i, t := range a.Tenants {
+			l.TenantOf[t.Name] = i
+		}
+	}
+	g.gate.Limits = l
+}
+
+// rankList is where the classes stand when something has to go.
+func rankList(c *classes) []overload.Rank {
+	ranks := make([]overload.Rank, len(c.list))
+	for i, k := range c.list {
+		ranks[i] = overload.Rank{Worth: cmp.Or(k.Worth, 1), Aim: cmp.Or(k.Aim, k.Deadline)}
+	}
+	return ranks
+}
+
+// watchSelf samples the process for the controller, until ctx ends.
+func (g *Gateway) watchSelf(ctx context.Context) {
+	tick := time.NewTicker(overload.Interval)
+	defer tick.Stop()
+	m := newMeter(g.memory, g.sockets)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.engine.Sample(m.sample())
+		}
+	}
+}
+
+// meter reads how the process stands.
+type meter struct {
+	memory  float64
+	sockets float64
+	samples []metrics.Sample
+	queue   []uint64 // counts of the run-queue histogram as they were
+	gc, cpu float64
+	n       int
+	files   float64
+}
+
+func newMeter(memory int64, sockets int) *meter {
+	m := &meter{memory: float64(memory), sockets: float64(sockets)}
+	for _, name := range []string{
+		"/sched/latencies:seconds", "/gc/heap/live:bytes", "/memory/classes/heap/stacks:bytes",
+		"/cpu/classes/gc/total:cpu-seconds", "/cpu/classes/total:cpu-seconds",
+	} {
+		m.samples = append(m.samples, metrics.Sample{Name: name})
+	}
+	return m
+}
+
+func (m *meter) sample() (s overload.Sample) {
+	metrics.Read(m.samples)
+	if h := m.samples[0].Value; h.Kind() == metrics.KindFloat64Histogram {
+		s.RunQueue = m.tenth(h.Float64Histogram())
+	}
+	bytes := 0.0
+	for _, x := range m.samples[1:3] {
+		if x.Value.Kind() == metrics.KindUint64 {
+			bytes += float64(x.Value.Uint64())
+		}
+	}
+	s.Heap = bytes / m.memory
+	if a, b := m.samples[3].Value, m.samples[4].Value; a.Kind() == metrics.KindFloat64 && b.Kind() == metrics.KindFloat64 {
+		gc, cpu := a.Float64()-m.gc, b.Float64()-m.cpu
+		if m.gc, m.cpu = a.Float64(), b.Float64(); cpu > 0 {
+			s.GC = gc / cpu
+		}
+	}
+	if m.n%filesEvery == 0 {
+		if list, err := os.ReadDir("/proc/self/fd"); err == nil {
+			m.files = float64(len(list)) / m.sockets
+		}
+	}
+	m.n++
+	s.Files = m.files
+	return s
+}
+
+// tenth is what a tenth of the goroutines that became ready since the last look waited less
+// than, by the buckets' lower bounds: as with the loop, not the mean, which a few long runs move.
+func (m *meter) tenth(h *metrics.Float64Histogram) time.Duration {
+	total := uint64(0)
+	if len(m.queue) != len(h.Counts) {
+		m.queue = make([]uint64, len(h.Counts))
+	}
+	fresh := make([]uint64, len(h.Counts))
+	for i, n := range h.Counts {
+		fresh[i] = n - m.queue[i]
+		total += fresh[i]
+		m.queue[i] = n
+	}
+	seen := uint64(0)
+	for i, n := range fresh {
+		if seen += n; n > 0 && seen*10 >= total {
+			return time.Duration(math.Max(h.Buckets[i], 0) * float64(time.Second))
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lynxspool/internal/config"
+	"lynxspool/internal/front"
+	"lynxspool/internal/overload"
+	"lynxspool/internal/testkit"
+)
+
+// limitBox is a gateway with limits in front of one host, with a route for lookups and one for
+// bookings.
+func limitBox(t *testing.T, limits string, host *testkit.Host) *appliance {
+	t.Helper()
+	text := strings.Replace(head, "[[listener]]", limits+"\n[[listener]]", 1)
+	return startAppliance(t, text+poolText("p", "", host.Addr())+
+		routeText("look", "pool = \"p\"\nclass = \"lookup\"")+routeText("book", "path = \"/book\"\npool = \"p\"\nclass = \"book\""))
+}
+
+// Under pressure what is worth least goes first, and is told when to come back; bookings are
+// served to the end, and a connection that was turned away goes on.
+func TestOverloadShedsByWorth(t *testing.T) {
+	host := testkit.NewHost(t, testkit.Says(testkit.Good))
+	g := limitBox(t, "", host)
+	g.engine.Sample(overload.Sample{Heap: 1})
+	testkit.Until(t, "there is pressure", func() bool { return g.engine.Overload.Pressure() > 4.5 })
+	var dials atomic.Int64
+	client := &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{Dial: func(network, addr string) (net.Conn, error) {
+		dials.Add(1)
+		return net.Dial(network, addr)
+	}}}
+	defer client.CloseIdleConnections()
+	ask := func(method, path, body string) *http.Response {
+		t.Helper()
+		r, _ := http.NewRequest(method, g.urls[0]+path, strings.NewReader(body))
+		resp, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return resp
+	}
+	told := map[string]bool{}
+	for range 20 {
+		g.engine.Sample(overload.Sample{Heap: 1})
+		resp := ask("GET", "/", "")
+		after, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+		if resp.StatusCode != 503 || err != nil || after < 1 || after > 30 {
+			t.Errorf("a lookup: %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+		}
+		told[resp.Header.Get("Retry-After")] = true
+		if resp := ask("POST", "/", strings.Repeat("x", 50_000)); resp.StatusCode != 503 {
+			t.Errorf("a lookup with a body: %d", resp.StatusCode)
+		}
+		if resp := ask("POST", "/book", "x"); resp.StatusCode != 200 {
+			t.Errorf("a booking: %d", resp.StatusCode)
+		}
+	}
+	if len(told) > 2 { // pressure may fall a little meanwhile
+		t.Errorf("one client was told %v", told)
+	}
+	if dials.Load() != 1 {
+		t.Errorf("%d connections: being turned away ended them", dials.Load())
+	}
+	if n := g.gate.Limits.Refused(front.ByOverload); n != 40 {
+		t.Errorf("%d refusals are counted", n)
+	}
+	if n, _, _ := host.Counts(); n != 20 {
+		t.Errorf("the host got %d requests, 20 bookings", n)
+	}
+	// With overload = false nothing of this is there.
+	off := limitBox(t, "overload = false", host)
+	if off.engine.Overload != nil {
+		t.Error("switched off, and there")
+	}
+	if resp, _ := fetch(t, "GET", off.urls[0]+"/", ""); resp.StatusCode != 200 {
+		t.Errorf("switched off: %d", resp.StatusCode)
+	}
+}
+
+// A client that asks too often or too much at once is told so, with 429; another address is not
+// held to it, a reload changes the limit, and what is out is given back.
+func TestClientLimits(t *testing.T) {
+	release := make(chan struct{})
+	var held atomic.Int64
+	host := testkit.NewHost(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if strings.HasPrefix(r.URL.Path, "/hold") {
+			held.Add(1)
+			<-release
+		}
+		io.WriteString(c, testkit.Good)
+		return true
+	})
+	limits := "[limits.client]\nrate = 0.001\nburst = 5.0\nconcurrent = 0"
+	g := limitBox(t, limits, host)
+	from := func(ip, path string) int {
+		t.Helper()
+		client := &http.Client{Timeout: testkit.Patience, Transport: &http.Transport{DisableKeepAlives: true,
+			Dial: (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial}}
+		resp, err := client.Get(g.urls[0] + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode == 429 && resp.Header.Get("Retry-After") == "" {
+			t.Error("429 without Retry-After")
+		}
+		return resp.StatusCode
+	}
+	for i := range 8 {
+		if got, want := from("127.0.0.1", "/"), map[bool]int{true: 200, false: 429}[i < 5]; got != want {
+			t.Errorf("request %d: %d, want %d", i, got, want)
+		}
+	}
+	if got := from("127.0.0.2", "/"); got != 200 {
+		t.Errorf("another address: %d", got)
+	}
+	if n := g.gate.Limits.Refused(front.ByRate); n != 3 {
+		t.Errorf("%d refusals are counted", n)
+	}
+	text := strings.Replace(head, "[[listener]]", "[limits.client]\nconcurrent = 3\n[[listener]]", 1) + poolText("p", "", host.Addr()) +
+		routeText("look", "pool = \"p\"\nclass = \"lookup\"")
+	if err := g.Reload(parse(t, text)); err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	for i := range 3 {
+		all.Go(func() { from("127.0.0.3", fmt.Sprint("/hold", i)) })
+	}
+	testkit.Until(t, "three are out", func() bool { return held.Load() == 3 })
+	if got := from("127.0.0.3", "/"); got != 429 {
+		t.Errorf("a fourth at once: %d", got)
+	}
+	close(release)
+	all.Wait()
+	testkit.Until(t, "there is room again", func() bool { return from("127.0.0.3", "/") == 200 })
+}
+
+// A tenant that floods is held to its share, and the other has all of its own.
+func TestTenantsOnSockets(t *testing.T) {
+	host := testkit.NewHost(t, testkit.Says(testkit.Good))
+	g := limitBox(t, "[limits.tenants]\nrate = 0.002\nheader = \"X-Council\"\n[[tenant]]\nname = \"glasgow\"\n[[tenant]]\nname = \"perth\"", host)
+	ask := func(tenant string) int {
+		resp, _ := fetch(t, "GET", g.urls[0]+"/", "", "X-Council", tenant)
+		return resp.StatusCode
+	}
+	if a, b := ask("glasgow"), ask("glasgow"); a != 503 || b != 503 {
+		t.Errorf("a share that is used up: %d, %d", a, b)
+	}
+	if got := ask("unknown"); got != 200 {
+		t.Errorf("one that has no share: %d", got)
+	}
+	if n := g.gate.Limits.Refused(front.ByTenant); n != 2 {
+		t.Errorf("%d refusals are counted", n)
+	}
+	for text, want := range map[string]string{
+		"[[tenant]]\nname = \"x\"": "tenant.name: limits.tenants sets neither",
+		"[limits.tenants]\nrate = 1.0\n[[tenant]]\nname = \"x\"\nweight = -1.0": "tenant.weight: -1 is not between",
+		"[limits.client]\nrate = -1.0":                                          "limits.client.rate: -1 is not between",
+		"[limits.client]\ntable_kb = 1":                                         "limits.client.table_kb: 1 is not between",
+	} {
+		_, wrong := config.ParseAppliance("f", strings.Replace(head, "[[listener]]", text+"\n[[listener]]", 1)+
+			poolText("p", "", "127.0.0.1:1")+routeText("r", "pool = \"p\""))
+		if len(wrong) == 0 || !strings.Contains(wrong[0].Error(), want) {
+			t.Errorf("%q: %v", text, wrong)
+		}
+	}
+}
+
+// The process knows how it stands: what is sampled is in bounds and moves.
+func TestMeter(t *testing.T) {
+	m := newMeter(64<<20, 1024)
+	m.sample()
+	for range 1000 {
+		done := make(chan struct{})
+		go close(done)
+		<-done
+	}
+	s := m.sample()
+	if s.Heap <= 0 || s.Heap > 5 || s.Files <= 0 || s.Files > 1 || s.GC < 0 || s.GC > 1 || s.RunQueue < 0 || s.RunQueue > time.Second {
+		t.Errorf("%+v", s)
+	}
+}
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,270 @@
+package overload
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// run feeds events for a span, of which each waits what delay says, and gives the highest
+// pressure met and the last.
+func run(c *Controller, now *Time, span time.Duration, perSecond int, delay func(i int) time.Duration) (highest, last float64) {
+	every := time.Second / time.Duration(perSecond)
+	next := *now + Interval
+	for i := range int(span / every) {
+		*now += every
+		c.Delay(*now, delay(i))
+		if *now >= next {
+			c.Sample(*now, Sample{})
+			next = *now + Interval
+		}
+		highest = max(highest, c.Pressure())
+	}
+	return highest, c.Pressure()
+}
+
+func constant(d time.Duration) func(int) time.Duration { return func(int) time.Duration { return d } }
+
+func TestRanks(t *testing.T) {
+	first, repeat, n := Ranks([]Rank{
+		{Worth: 1, Aim: 2 * time.Second}, {Worth: 5, Aim: time.Second}, {Worth: 2, Aim: 2 * time.Second}, {Worth: 1, Aim: time.Second}, {Worth: 1, Aim: 2 * time.Second},
+	})
+	// Repeats of 1, 2 and 5 are worth 0.25, 0.5 and 1.25.
+	for i, want := range []int{3, 7, 6, 4, 3} {
+		if first[i] != want {
+			t.Errorf("class %d: rank %d, want %d", i, first[i], want)
+		}
+	}
+	for i, want := range []int{0, 5, 2, 1, 0} {
+		if repeat[i] != want {
+			t.Errorf("repeats of class %d: rank %d, want %d", i, repeat[i], want)
+		}
+	}
+	if n != 8 {
+		t.Errorf("%d ranks", n)
+	}
+}
+
+// The level follows the load: nothing is shed while the least delay is short, all but the last
+// rank when it stays long, and it comes down again, slower than it rose, without swinging.
+func TestPressureFollowsTheLoad(t *testing.T) {
+	c, now := New(6), Time(time.Hour)
+	if high, _ := run(c, &now, 20*time.Second, 200, constant(Target)); high != 0 {
+		t.Errorf("pressure %v at the target", high)
+	}
+	if _, last := run(c, &now, 3*time.Second, 200, constant(8*Target)); last != 5 {
+		t.Errorf("pressure %v after 3 s of eight times the target", last)
+	}
+	for _, u := range []float64{0, 0.5, 0.999} {
+		for r := range 5 {
+			if c.Admit(r, u) {
+				t.Errorf("rank %d is let in", r)
+			}
+		}
+		if !c.Admit(5, u) {
+			t.Error("the last rank is shed")
+		}
+	}
+	_, half := run(c, &now, 10*time.Second, 200, constant(0))
+	if half >= 5 || half <= 0 {
+		t.Errorf("pressure %v after 10 s of calm", half)
+	}
+	if _, last := run(c, &now, 30*time.Second, 200, constant(0)); last != 0 {
+		t.Errorf("pressure %v after 40 s of calm", last)
+	}
+	// A load that stands just above what is borne: it settles, and does not swing.
+	now = now + time.Minute
+	c = New(6)
+	low, high := math.Inf(1), 0.0
+	for round := range 400 {
+		// What is let in makes the delay: at a pressure of 2 it is just the target.
+		d := time.Duration(float64(Target) * (3 - c.Pressure()))
+		run(c, &now, Interval, 200, constant(max(d, 0)))
+		if round > 100 {
+			low, high = min(low, c.Pressure()), max(high, c.Pressure())
+		}
+	}
+	if low < 1 || high > 3 {
+		t.Errorf("it swings from %v to %v", low, high)
+	}
+}
+
+// A few requests of a hundred times the usual cost hold up what is behind them, and neither hide
+// a load that rises nor trip the level by themselves: the least delay of an interval counts.
+func TestCostlyRequests(t *testing.T) {
+	c, now := New(6), Time(time.Hour)
+	costly := func(d time.Duration) func(int) time.Duration {
+		return func(i int) time.Duration {
+			if i%20 < 5 { // five in a row in each tenth of a second
+				return 80 * time.Millisecond
+			}
+			return d
+		}
+	}
+	if high, _ := run(c, &now, 10*time.Second, 200, costly(time.Millisecond)); high != 0 {
+		t.Errorf("pressure %v for costly requests alone", high)
+	}
+	if _, last := run(c, &now, 10*time.Second, 200, costly(4*Target)); last != 5 {
+		t.Errorf("pressure %v under a load that costly requests could hide", last)
+	}
+}
+
+// A process that was stopped for 300 ms finds its events waiting: nothing is shed for it.
+func TestPause(t *testing.T) {
+	c, now := New(6), Time(time.Hour)
+	run(c, &now, 5*time.Second, 200, constant(0))
+	now += 300 * time.Millisecond
+	for i := range 60 { // what waited, oldest first
+		c.Delay(now, 300*time.Millisecond-time.Duration(i)*5*time.Millisecond)
+		now += 50 * time.Microsecond
+	}
+	if high, _ := run(c, &now, 5*time.Second, 200, constant(0)); high != 0 {
+		t.Errorf("pressure %v after a pause", high)
+	}
+	// Also where the backlog is of just one age, and takes a whole interval.
+	now += time.Second
+	for range 100 {
+		c.Delay(now, time.Second)
+		now += time.Millisecond
+	}
+	if high, _ := run(c, &now, 5*time.Second, 200, constant(0)); high != 0 {
+		t.Errorf("pressure %v after a second's pause", high)
+	}
+	// A clock that jumps back is no delay.
+	c.Delay(now-time.Hour, -time.Hour)
+	if high, _ := run(c, &now, time.Second, 200, constant(0)); high != 0 {
+		t.Errorf("pressure %v after a jump", high)
+	}
+}
+
+// Memory and descriptors shed by themselves as they run out, and stop with it.
+func TestResources(t *testing.T) {
+	c, now := New(11), Time(time.Hour)
+	set := func(s Sample) float64 {
+		now += Interval
+		c.Sample(now, s)
+		return c.Pressure()
+	}
+	if p := set(Sample{Heap: heapFrom, Files: 0.9}); p != 0 {
+		t.Errorf("pressure %v below the bounds", p)
+	}
+	if p := set(Sample{Heap: 0.925}); math.Abs(p-5) > 1e-9 {
+		t.Errorf("pressure %v half way to the end of memory", p)
+	}
+	if p := set(Sample{Heap: 2}); p != 10 {
+		t.Errorf("pressure %v with no memory left", p)
+	}
+	if p := set(Sample{Files: 1}); p != 10 {
+		t.Errorf("pressure %v with no descriptor left", p)
+	}
+	last := 10.0
+	for range 600 {
+		p := set(Sample{})
+		if p > last {
+			t.Fatal("it rises by itself")
+		}
+		last = p
+	}
+	if last != 0 {
+		t.Errorf("pressure %v a minute later", last)
+	}
+	set(Sample{GC: 0.9})
+	if p := set(Sample{GC: 0.9}); p == 0 {
+		t.Error("a collector that takes nine tenths sheds nothing")
+	}
+}
+
+// Fewer ranks after a reload: the last is still never shed.
+func TestFewerRanks(t *testing.T) {
+	c, now := New(10), Time(time.Hour)
+	run(c, &now, 10*time.Second, 200, constant(10*Target))
+	c.SetRanks(3)
+	if !c.Admit(2, 0) || c.Admit(1, 0.999) {
+		t.Errorf("pressure %v", c.Pressure())
+	}
+	one := New(0)
+	run(one, &now, time.Second, 200, constant(10*Target))
+	if !one.Admit(0, 0) {
+		t.Error("with one rank nothing is shed")
+	}
+}
+
+// Why refused clients do not return in step: of 10,000 turned away within 100 ms, each comes back
+// when it was told to, is turned away again while more come than can be served, and is told to
+// wait twice as long as the pressure rises by a rank. The most that comes in any 100 ms falls
+// from all at once to near the mean; without the spread it does not.
+func TestRefusedDoNotReturnInStep(t *testing.T) {
+	const clients, capacity = 10_000, 100 // served in 100 ms
+	peak := func(advice func(pressure float64, client uint64) time.Duration) (last int, all time.Duration) {
+		rng := rand.New(rand.NewPCG(20261201, 1))
+		due := map[int][]uint64{}
+		for i := range clients {
+			due[0] = append(due[0], uint64(i)+rng.Uint64N(1<<40)<<20)
+		}
+		pressure := 0.0
+		for slot := 0; slot < 100_000; slot++ {
+			come := due[slot]
+			delete(due, slot)
+			if len(come) > capacity {
+				pressure = min(pressure+0.5, 5)
+			} else {
+				pressure = max(pressure-fallPart, 0)
+			}
+			if slot >= 100 { // ten seconds on
+				last = max(last, len(come))
+			}
+			for i, id := range come {
+				if i >= capacity {
+					at := slot + 1 + int(advice(pressure, id)/(100*time.Millisecond))
+					due[at] = append(due[at], id)
+				}
+			}
+			if len(due) == 0 {
+				return last, time.Duration(slot) * 100 * time.Millisecond
+			}
+		}
+		return last, time.Hour
+	}
+	spread, took := peak(func(p float64, id uint64) time.Duration { return Advice(p, time.Second, 30*time.Second, id) })
+	step, tookStep := peak(func(p float64, _ uint64) time.Duration { return 2 * time.Second })
+	// Ordinary clients are told whole seconds, and come back as far into one as they came: so
+	// their base is longer, and they are spread over several.
+	whole, _ := peak(func(p float64, id uint64) time.Duration {
+		return (Advice(p, 4*time.Second, 30*time.Second, id) + time.Second - 1).Truncate(time.Second)
+	})
+	if whole > 20*capacity {
+		t.Errorf("most in 100 ms: %d where whole seconds are told", whole)
+	}
+	t.Logf("most in 100 ms where whole seconds are told: %d", whole)
+	t.Logf("most in 100 ms from 10 s on: %d spread, %d in step; all served after %v and %v", spread, step, took, tookStep)
+	if spread > 4*capacity || step < 20*capacity {
+		t.Errorf("most in 100 ms: %d with advice that is spread, %d without", spread, step)
+	}
+	if a, b := Advice(2, time.Second, 30*time.Second, 7), Advice(2, time.Second, 30*time.Second, 7); a != b {
+		t.Errorf("one client is told %v and %v", a, b)
+	}
+	for p := range 20 {
+		if d := Advice(float64(p), time.Second, 30*time.Second, uint64(p)); d > 30*time.Second || d < 500*time.Millisecond {
+			t.Errorf("advice of %v", d)
+		}
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	c, now := New(6), Time(time.Hour)
+	run(c, &now, time.Second, 200, constant(2*Target))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c.Admit(i%6, 0.5)
+	}
+}
+
+func BenchmarkDelay(b *testing.B) {
+	c, now := New(6), Time(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Microsecond
+		c.Delay(now, time.Millisecond)
+	}
+}
