--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -120,20 +120,22 @@
 func (c *Clients) hash(key uint64) uint64 { return max(mix(key^c.seed), 1) }
 
 // Begin is a request of a client, and says whether it is let in; then End is called once when
-// it is over. repeat says that the client marks it as a repeat; one that comes back sooner than
-// it was told to counts as one too, and comes back as such.
-func (c *Clients) Begin(now Time, key uint64, repeat bool) (v Verdict, again bool) {
+// it is over. repeat says that the client marks it as a repeat. One that comes back sooner than
+// it was told to counts as one too, and soon says so; where spared is set, as for what is worth
+// most, that is not looked at: a household that asks for much else may still book.
+func (c *Clients) Begin(now Time, key uint64, repeat, spared bool) (v Verdict, soon bool) {
 	h := c.hash(key)
 	s := &c.shards[h%sets]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := c.find(s, h, now)
 	if e == nil {
-		return Admitted, repeat
+		return Admitted, false
 	}
 	passed := max(int64(now)-e.at, 0) // a clock that went back gives nothing
 	if e.away > 0 && passed < int64(e.away)*int64(time.Millisecond) {
-		repeat = true
+		soon = !spared
+		repeat = repeat || soon
 		e.away -= int32(passed / int64(time.Millisecond))
 	} else {
 		e.away = 0
@@ -144,11 +146,11 @@
 	}
 	switch {
 	case c.limits.Rate > 0 && e.tokens < 1:
-		return Rate, repeat
+		return Rate, soon
 	case c.limits.Concurrent > 0 && int(e.out) >= c.limits.Concurrent:
-		return Concurrent, repeat
+		return Concurrent, soon
 	case repeat && e.repeats < 1:
-		return Repeats, repeat
+		return Repeats, soon
 	case repeat:
 		e.repeats--
 	default:
@@ -158,7 +160,7 @@
 		e.tokens--
 	}
 	e.out++
-	return Admitted, repeat
+	return Admitted, soon
 }
 
 // End is the end of a request that was let in.
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -228,6 +228,9 @@
 			// reads what little body there is.
 			w.Header().Set("Retry-After", retryAfter(turned.After, s.plain))
 			fail(w, turned.Error(), turned.Status())
+			if turned.Soon {
+				s.pause(w, r, turned.After)
+			}
 			return
 		}
 		s.turnAway(w, r, c, err)
@@ -248,6 +251,23 @@
 	a.Release()
 }
 
+// pauseMost is how long a connection is left unread whose client came back sooner than it was
+// told to. It guards against clients that ask again as fast as they are refused: each answer
+// costs them as little as us.
+const pauseMost = time.Second
+
+// pause has the answer go out and leaves the connection unread for a while.
+func (s *Server) pause(w http.ResponseWriter, r *http.Request, after time.Duration) {
+	http.NewResponseController(w).Flush()
+	t := time.NewTimer(min(after, pauseMost))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+	case <-s.leave:
+	}
+}
+
 // turnAway answers a request that goes to no host. The connection ends with the
 // answer: what comes behind a bad request is not to be trusted, and a body that is
 // not read would be taken for the next one.
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +52,9 @@
 type Turned struct {
 	Why   Refusal
 	After time.Duration
+	// Soon says that the client came back sooner than it was told to. The answer goes out at
+	// once; what it sends next on its connection need not be read at once.
+	Soon bool
 }
 
 func (t *Turned) Error() string {
@@ -67,6 +72,20 @@
 // clientSeed makes the keys of clients unknown to them.
 var clientSeed = maphash.MakeSeed()
 
+// clientOf is whom a request comes from: the peer, or where that is trusted, whom it names last.
+func clientOf(m *Message) netip.Addr {
+	if v := m.Header[headFor]; m.Peer.Trusted && len(v) > 0 {
+		last := v[len(v)-1]
+		if i := strings.LastIndexByte(last, ','); i >= 0 {
+			last = last[i+1:]
+		}
+		if a, err := netip.ParseAddr(strings.TrimSpace(last)); err == nil {
+			return a
+		}
+	}
+	return m.Peer.Addr
+}
+
 func clientKey(a netip.Addr) uint64 {
 	// A household has a /64: its addresses change at will (RFC 8981).
 	if a.Is6() && !a.Is4In6() {
@@ -82,6 +101,7 @@
 	if l == nil {
 		return nil
 	}
+	soon := false
 	turned := func(why Refusal) error {
 		l.counts[why].Add(1)
 		pressure := 0.0
@@ -96,14 +116,18 @@
 		if l.Clients != nil && why != ByRepeats {
 			l.Clients.Away(e.gate.Engine.Now(), e.client, after)
 		}
-		return &Turned{why, after}
+		return &Turned{why, after, soon && !m.Peer.Trusted}
 	}
 	if m.Peer.Addr.IsValid() {
-		e.client = clientKey(m.Peer.Addr)
+		e.client = clientKey(clientOf(m))
 	}
+	// Who came back too soon is held to it while there is pressure, and never for what is worth
+	// most.
+	spared := l.Overload == nil || l.Overload.Pressure() == 0 ||
+		e.Route.First != nil && e.Route.First[e.Class] == slices.Max(e.Route.First)
 	if l.Clients != nil && m.Peer.Addr.IsValid() {
 		var v fair.Verdict
-		switch v, repeat = l.Clients.Begin(e.gate.Engine.Now(), e.client, repeat); v {
+		switch v, soon = l.Clients.Begin(e.gate.Engine.Now(), e.client, repeat, spared); v {
 		case fair.Rate:
 			return turned(ByRate)
 		case fair.Concurrent:
@@ -115,7 +139,7 @@
 	}
 	if l.Overload != nil && e.Route.First != nil {
 		rank := e.Route.First[e.Class]
-		if repeat {
+		if repeat || soon {
 			rank = e.Route.Repeat[e.Class]
 		}
 		if !l.Overload.Admit(rank, rand.Float64()) {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"os"
 	"runtime/metrics"
+	"sync/atomic"
 	"time"
 
 	"lynxspool/internal/config"
@@ -33,7 +35,7 @@
 		l.Overload = overload.New(n)
 		g.engine.Overload = l.Overload
 	}
-	if c := a.Limits.Clients; c != (fair.ClientLimits{}) {
+	if c := a.Limits.Clients; c != (fair.ClientLimits{}) || !a.Limits.NoOverload {
 		l.Clients = fair.NewClients(c, a.Limits.ClientsKB<<10, rand.Uint64())
 	}
 	if len(a.Tenants) > 0 {
@@ -59,6 +61,9 @@
 	tick := time.NewTicker(overload.Interval)
 	defer tick.Stop()
 	m := newMeter(g.memory, g.sockets)
+	if err := m.ping(ctx); err != nil {
+		slog.Warn("how long bytes wait to be read is not known", "err", err)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -78,6 +83,62 @@
 	gc, cpu float64
 	n       int
 	files   float64
+
+	pings atomic.Int64 // the least that one took since the last look, ns; 0: none came
+	sent  atomic.Int64 // when the one that is under way was sent, ns; 0: none is
+}
+
+// pingEvery is how often a byte is sent to ourselves. A runtime that has more to do than it can
+// looks seldom for what has come, and takes it in the order in which it came: so a request that
+// waits in its socket waits as long as the byte does, and neither the loop nor the run queue
+// tell of it.
+const pingEvery = 10 * time.Millisecond
+
+// ping begins to send bytes through a pipe, until ctx ends.
+func (m *meter) ping(ctx context.Context) error {
+	r, w, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { r.Close(); w.Close() })
+	go func() {
+		tick := time.NewTicker(pingEvery)
+		defer tick.Stop()
+		for range tick.C {
+			if m.sent.Load() != 0 {
+				if ctx.Err() != nil {
+					return
+				}
+				continue // one at a time
+			}
+			m.sent.Store(time.Now().UnixNano())
+			if _, err := w.Write([]byte{1}); err != nil {
+				return
+			}
+		}
+	}()
+	go func() {
+		var b [1]byte
+		for {
+			if _, err := r.Read(b[:]); err != nil {
+				return
+			}
+			took := max(time.Now().UnixNano()-m.sent.Swap(0), 1)
+			if old := m.pings.Load(); old == 0 || took < old {
+				m.pings.Store(took)
+			}
+		}
+	}()
+	return nil
+}
+
+// poll is the least that a byte took since the last look, or the age of the one under way.
+func (m *meter) poll() time.Duration {
+	least := m.pings.Swap(0)
+	if sent := m.sent.Load(); least == 0 && sent != 0 {
+		least = time.Now().UnixNano() - sent
+	}
+	return time.Duration(max(least, 0))
 }
 
 func newMeter(memory int64, sockets int) *meter {
@@ -94,7 +155,7 @@
 func (m *meter) sample() (s overload.Sample) {
 	metrics.Read(m.samples)
 	if h := m.samples[0].Value; h.Kind() == metrics.KindFloat64Histogram {
-		s.RunQueue = m.tenth(h.Float64Histogram())
+		s.RunQueue = m.middle(h.Float64Histogram())
 	}
 	bytes := 0.0
 	for _, x := range m.samples[1:3] {
@@ -115,13 +176,14 @@
 		}
 	}
 	m.n++
-	s.Files = m.files
+	s.Files, s.Poll = m.files, m.poll()
 	return s
 }
 
-// tenth is what a tenth of the goroutines that became ready since the last look waited less
-// than, by the buckets' lower bounds: as with the loop, not the mean, which a few long runs move.
-func (m *meter) tenth(h *metrics.Float64Histogram) time.Duration {
+// middle is what half of the goroutines that became ready since the last look waited less than,
+// by the buckets' lower bounds: not the mean, which a few long runs move, and not the least, as
+// the runtime runs some that were just woken ahead of all others.
+func (m *meter) middle(h *metrics.Float64Histogram) time.Duration {
 	total := uint64(0)
 	if len(m.queue) != len(h.Counts) {
 		m.queue = make([]uint64, len(h.Counts))
@@ -134,7 +196,7 @@
 	}
 	seen := uint64(0)
 	for i, n := range fresh {
-		if seen += n; n > 0 && seen*10 >= total {
+		if seen += n; n > 0 && seen*2 >= total {
 			return time.Duration(math.Max(h.Buckets[i], 0) * float64(time.Second))
 		}
 	}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -26,9 +26,11 @@
 	risePart = 0.1
 	riseMost = 0.5
 	// fallPart is by how much it falls in a good interval, once calmIntervals have been good in
-	// a row: slower than it rises, so that it does not swing.
+	// a row: slower than it rises, so that it does not swing. Where the least delay is under a
+	// quarter of the target there is room, and it falls four times as fast.
 	fallPart      = 0.02
-	calmIntervals = 5
+	roomPart      = 4 * fallPart
+	calmIntervals = 3
 	// From these shares on a resource by itself sheds, up to all but the last rank at its end:
 	// memory that runs out, or descriptors, end the process or its service.
 	heapFrom  = 0.85
@@ -39,7 +41,8 @@
 
 // Sample is how the process stood over the last interval.
 type Sample struct {
-	RunQueue time.Duration // a tenth of what became ready to run waited less
+	RunQueue time.Duration // half of what became ready to run waited less
+	Poll     time.Duration // the least that a byte waited to be read once it had come
 	Heap     float64       // share of the memory limit
 	Files    float64       // share of the descriptors
 	GC       float64       // share of the CPU that the collector took
@@ -147,7 +150,7 @@
 	if c.seen {
 		least = c.least
 	}
-	least = max(least, c.sample.RunQueue)
+	least = max(least, c.sample.RunQueue, c.sample.Poll)
 	if c.sample.GC > gcFrom {
 		least = max(least, time.Duration(float64(Target)*(1+(c.sample.GC-gcFrom)/(1-gcFrom))))
 	}
@@ -161,7 +164,11 @@
 		c.calm = 0
 	default:
 		if c.calm++; c.calm > calmIntervals {
-			p -= fallPart * min(float64(now-c.began)/float64(Interval), 50)
+			part := fallPart
+			if least < Target/4 {
+				part = roomPart
+			}
+			p -= part * min(float64(now-c.began)/float64(Interval), 50)
 		}
 	}
 	c.late = late
