--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -104,13 +104,15 @@
 			wait = uploadMost // its own pace ends it sooner
 		}
 	}
-	came := time.Now()
-	e.post(func(now lynxspool.Time) {
-		if e.Overload != nil {
+	if e.Overload != nil {
+		came := time.Now()
+		e.post(func(now lynxspool.Time) {
 			e.Overload.Delay(now, now-e.clock.at(came))
-		}
-		e.submit(now, x)
-	})
+			e.submit(now, x)
+		})
+	} else {
+		e.post(func(now lynxspool.Time) { e.submit(now, x) })
+	}
 	late := time.NewTimer(wait)
 	defer late.Stop()
 	for {
