--- a/internal/gateway/recording_test.go
+++ b/internal/gateway/recording_test.go
@@ -76,3 +76,51 @@
 		t.Errorf("%d more dumps", n)
 	}
 }
+
+// An appliance records each pool by itself: every dump replays alike and names its own hosts.
+func TestRecordingOfAnAppliance(t *testing.T) {
+	a, b := testkit.NewHost(t, testkit.Says(testkit.Good)), testkit.NewHost(t, testkit.Says(testkit.Good))
+	dumps := make(chan string, 8)
+	dir := t.TempDir()
+	g, err := StartAppliance(parse(t, head+poolText("one", "", a.Addr())+poolText("two", "", b.Addr())+
+		routeText("r", "pool = \"one\"\nclass = \"lookup\"")+routeText("s", "path = \"/two\"\npool = \"two\"\nclass = \"lookup\"")),
+		&engine.RecordingConfig{Ring: 128 << 10, ViewEvery: time.Millisecond, Dir: dir, File: filepath.Join(dir, "all.dmf"), FileSize: 1 << 20,
+			Dumped: func(path string, err error) {
+				if err != nil {
+					t.Error(err)
+				}
+				dumps <- path
+			}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	url := "http://" + g.box.listeners["127.0.0.1:0"].Addr().String()
+	for range 20 {
+		fetch(t, "GET", url+"/", "")
+		fetch(t, "GET", url+"/two", "")
+	}
+	g.Dump()
+	paths := []string{<-dumps, <-dumps}
+	g.Close()
+	paths = append(paths, filepath.Join(dir, "all-one.dmf"), filepath.Join(dir, "all-two.dmf"))
+	seen := map[string]int{}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rep, err := flight.Replay(flight.NewReader(bytes.NewReader(data)), nil, nil)
+		if err != nil || rep.First != nil || rep.Events < 40 || len(rep.Losses) > 0 {
+			t.Errorf("%s: %+v, %v", path, rep, err)
+		}
+		for _, host := range []string{"one-0", "two-0"} {
+			if bytes.Contains(data, []byte(host)) {
+				seen[host]++
+			}
+		}
+	}
+	if seen["one-0"] != 2 || seen["two-0"] != 2 {
+		t.Errorf("hosts are named in %v of four recordings", seen)
+	}
+}
