A reload names the limits that wait for the next start, and no others

Read again, Reload warned that all limits wait for the next start though the client's are used at once, said nothing of a changed list of tenants, and dropped a client's limits where there was no table to keep them in. A test goes through seven changes.

--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -8,6 +8,7 @@
 	"net"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -93,10 +94,37 @@
 // Reload serves by another file, all at once. Where it can't, it says why and nothing has
 // changed. Requests that are in end as they began.
 func (g *Gateway) Reload(a *config.Appliance) error {
-	if old := g.box.file.Limits; old != a.Limits {
-		slog.Warn("limits changed in the file are used from the next start on")
+	late := g.later(a)
+	if err := g.apply(a, true); err != nil {
+		return err
+	}
+	if len(late) > 0 {
+		slog.Warn("limits changed in the file are used from the next start on", "settings", strings.Join(late, ", "))
+	}
+	return nil
+}
+
+// later names the settings of a file that differ from those in use and need a new start.
+func (g *Gateway) later(a *config.Appliance) (names []string) {
+	was, now := g.box.file.Limits, a.Limits
+	for _, s := range []struct {
+		name    string
+		changed bool
+	}{
+		{"limits.cores", was.Cores != now.Cores}, {"limits.memory_mb", was.MemoryMB != now.MemoryMB},
+		{"limits.sockets", was.Sockets != now.Sockets}, {"limits.head_kb", was.HeadKB != now.HeadKB},
+		{"limits.headers", was.Headers != now.Headers}, {"limits.overload", was.NoOverload != now.NoOverload},
+		// The client's limits are used at once, where there is a table to keep them in.
+		{"limits.client", g.gate.Limits.Clients == nil && was.Clients != now.Clients},
+		{"limits.client.table_kb", was.ClientsKB != now.ClientsKB},
+		{"limits.tenants", was.Tenants != now.Tenants || was.TenantName != now.TenantName},
+		{"tenant", !slices.Equal(g.box.file.Tenants, a.Tenants)},
+	} {
+		if s.changed {
+			names = append(names, s.name)
+		}
 	}
-	return g.apply(a, true)
+	return names
 }
 
 func longest(a *config.Appliance) (d time.Duration) {
@@ -161,7 +189,7 @@
 	var routes []*engine.Route
 	var retries []engine.Retries
 	for i, r := range a.Routes {
-		routes = append(routes, routeOf(a.Table.Routes()[i].Name, r, classes, !a.Limits.NoOverload))
+		routes = append(routes, routeOf(a.Table.Routes()[i].Name, r, classes, g.engine.Overload != nil))
 		retries = append(retries, engine.Retries{Share: r.RetryShare, Floor: r.RetryFloor})
 	}
 	plan := g.engine.NewPlan(a.Table, routes, retries, uses...)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -237,3 +237,32 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// A reload says which limits wait for the next start, and no others: it guards against a setting
+// that an operator believes in use and that is not.
+func TestReloadSaysWhatWaits(t *testing.T) {
+	host := testkit.NewHost(t, testkit.Says(testkit.Good))
+	file := func(limits string) *config.Appliance {
+		return parse(t, strings.Replace(head, "[[listener]]", limits+"\n[[listener]]", 1)+
+			poolText("p", "", host.Addr())+routeText("r", "pool = \"p\"\nclass = \"lookup\""))
+	}
+	const tenants = "[limits.tenants]\nrate = 5.0\n[[tenant]]\nname = \"a\""
+	for _, c := range []struct{ was, now, want string }{
+		{"", "", "[]"},
+		{"", "[limits.client]\nrate = 5.0", "[]"},                                                // in use at once
+		{"overload = false", "overload = false\n[limits.client]\nrate = 5.0", "[limits.client]"}, // no table to keep it in
+		{"", "overload = false", "[limits.overload]"},
+		{"", "memory_mb = 128\nheaders = 50", "[limits.memory_mb limits.headers]"},
+		{"", tenants, "[limits.tenants tenant]"},
+		{tenants, tenants + "\nweight = 2.0", "[tenant]"},
+	} {
+		g, err := StartAppliance(file(c.was), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := fmt.Sprint(g.later(file(c.now))); got != c.want {
+			t.Errorf("from %q to %q: %s, want %s", c.was, c.now, got, c.want)
+		}
+		g.Close()
+	}
+}
