An attempt that follows goes to a host that the request has not been to

The module drew two at random for each attempt and knew nothing of where the request had been. Change: of two hosts drawn, one that has failed the request comes behind one that has not, and where both have, others are drawn for half of the tries. Not taken: leaving such hosts out, as with all tried the attempts that are left would be lost.

--- a/balancer.go
+++ b/balancer.go
@@ -394,7 +394,7 @@
 // first: it draws, and passes over what is found not to be ready any more. Where that
 // happens drawTries times, most are not, and they are gathered.
 func (b *Balancer) draw(r *request, set, n int, heedless bool) *host {
-	for range drawTries {
+	for try := range drawTries {
 		total := 0
 		for k := set; k < set+n; k++ {
 			total += len(b.sets[k].list)
@@ -411,7 +411,7 @@
 			}
 			y = b.nth(set, j)
 		}
-		if b.stale(x) || y != x && b.stale(y) {
+		if b.stale(x) || y != x && b.stale(y) || try < drawTries/2 && r.tried(x) && r.tried(y) {
 			continue
 		}
 		if heedless || !b.shunned(x, r.Class) && !b.shunned(y, r.Class) {
@@ -446,13 +446,31 @@
 	return b.better(r, b.ready[i], b.ready[j])
 }
 
+// better is the less loaded. A host that has failed the request already comes behind one
+// that has not: it guards against using up a request's attempts at the hosts that are ill.
 func (b *Balancer) better(r *request, x, y *host) *host {
+	if was := r.tried(x); was != r.tried(y) {
+		if was {
+			return y
+		}
+		return x
+	}
 	if y != x && b.load(y, r.Class) < b.load(x, r.Class) {
 		return y
 	}
 	return x
 }
 
+// tried says whether the request has had an attempt at the host.
+func (r *request) tried(h *host) bool {
+	for _, a := range r.atts {
+		if a.host == h {
+			return true
+		}
+	}
+	return false
+}
+
 // opens says from how many of the sets, in their order, a class may be served, given the
 // hosts that are not shunned for it and how many are; heedless means from those too.
 func (b *Balancer) opens(heed tally, shunned int) (sets int, heedless bool) {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1758,3 +1758,32 @@
 		}
 	}
 }
+
+// What two of three hosts failed, the third serves: an attempt that follows goes to a host
+// that the request has not been to, while one is ready. It guards against spending the
+// attempts of a request on the hosts that are ill.
+func TestAnotherHostComesFirst(t *testing.T) {
+	for seed := range uint64(200) {
+		b, err := New(basic(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := &gateway{T: t, b: b, now: time.Hour}
+		b.Start(g.now)
+		g.list(ListSaved, hosts(3)...)
+		id, been := g.request(0, time.Second), map[HostID]bool{}
+		for n := range 3 {
+			if len(g.acts) != 1 || g.acts[0].Kind != Send {
+				t.Fatalf("seed %d: attempt %d: %v", seed, n, g.acts)
+			}
+			if been[g.acts[0].Host] {
+				t.Fatalf("seed %d: attempt %d goes to host %d again", seed, n, g.acts[0].Host)
+			}
+			been[g.acts[0].Host] = true
+			g.outcome(id, n, Failed, ms)
+		}
+		if len(g.acts) != 1 || g.acts[0].Kind != Send {
+			t.Fatalf("seed %d: with all tried, none is sent to: %v", seed, g.acts)
+		}
+	}
+}
