Test that an old process takes nothing new once it is told to end

(Without the connections that end with their answers, and without the wait for the list, the tests did fail.) Change: a test of its own, in which the old process still has a request out and the new one answers with another word; lists told at once, so that what is out does not time out.

--- a/cmd/dunemoor/upgrade_test.go
+++ b/cmd/dunemoor/upgrade_test.go
@@ -45,6 +45,12 @@
 	return p
 }
 
+// told is a configuration whose discovery names a host at once.
+func told(t *testing.T, addr string) string {
+	list, _ := discoveryAt(t, "s-0", addr)
+	return strings.NewReplacer(unusedAddr, list, `"version":1`, `"version":0`).Replace(platformConfig(addr))
+}
+
 func call(method, admin, path string) int {
 	r, _ := http.NewRequest(method, "http://"+admin+path, nil)
 	resp, err := http.DefaultClient.Do(r)
@@ -66,8 +72,7 @@
 	}))
 	defer host.Close()
 	addr := strings.TrimPrefix(host.URL, "http://")
-	discovery, _ := discoveryAt(t, "s-0", addr)
-	config := strings.ReplaceAll(platformConfig(addr), unusedAddr, discovery)
+	config := told(t, addr)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -171,3 +176,80 @@
 	startBeside(t, socket, platformConfig("127.0.0.1:1"), admin, tmp) // nobody is at its discovery
 	until(t, "it says yes without discovery", func() bool { return call("GET", admin, "/admin/health") == 200 })
 }
+
+// From SIGTERM on the old process takes nothing that comes new, though it still has a request
+// out: it guards against connections that it accepts and has no time left to serve.
+func TestOldProcessTakesNothingNew(t *testing.T) {
+	release := make(chan struct{})
+	says := func(text string) *httptest.Server {
+		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/api/slow" {
+				<-release
+			}
+			io.WriteString(w, text)
+		}))
+		t.Cleanup(host.Close)
+		return host
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	socket, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	post := func(path string) string {
+		c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+		r, _ := http.NewRequest(http.MethodPost, "http://"+ln.Addr().String()+path, strings.NewReader("x"))
+		r.Header.Set("X-Priority-Class", "book")
+		r.Header.Set("X-Request-ID", fmt.Sprintf("%016x", lastID.Add(1)))
+		r.Header.Set("X-Timeout", "2")
+		resp, err := c.Do(r)
+		if err != nil {
+			return err.Error()
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return string(text)
+	}
+	tmp := t.TempDir()
+	begin := func(host *httptest.Server) *program {
+		admin := freeAddr(t)
+		addr := strings.TrimPrefix(host.URL, "http://")
+		p := startBeside(t, socket, told(t, addr), admin, tmp) // at once: what is out must not time out meanwhile
+		until(t, "it says yes", func() bool { return call("GET", admin, "/admin/health") == 200 })
+		return p
+	}
+	old := begin(says("old"))
+	slow := make(chan string, 1)
+	go func() { slow <- post("/api/slow") }()
+	if got := post("/api/1"); got != "old" {
+		t.Fatalf("answer %q", got)
+	}
+	begin(says("new"))
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the old one stops", func() bool { return strings.Contains(old.out.String(), "stopping") })
+	run := 0
+	for n := 0; n < 100 && run < 20; n++ { // the line comes a moment ahead of the deed
+		if run++; post("/api/1") != "new" {
+			run = 0
+		}
+	}
+	if run < 20 {
+		t.Error("the old process goes on taking what comes new")
+	}
+	select {
+	case <-old.exited:
+		t.Error("it has left with a request out")
+	default:
+	}
+	close(release)
+	if got := <-slow; got != "old" {
+		t.Errorf("what was out got %q\n%s", got, old.out.String())
+	}
+}
