New settings at SIGHUP: the module takes them over in place, classes keep their places

Change: Balancer.Retune swaps the settings and keeps what was learnt, what waits and what is out; internal/places gives classes numbers that go with their rules for as long as any request may be under them; a file that lacks a key of the first one, or with no attempts, is turned down whole; a recording begins a new session from a checkpoint and replays over it. Not taken: a second module beside the first, see docs/design/operation.md.

--- a/api.go
+++ b/api.go
@@ -67,6 +67,7 @@
 	Effect   Effect
 	Group    Group         // for Keyed
 	Window   time.Duration // for Keyed: counted from the first attempt that may have run
+	Retired  bool          // no more of it come: it is kept for requests under way
 }
 
 // Tenant describes one customer. Quota is its requests a second over all
--- a/balancer.go
+++ b/balancer.go
@@ -84,16 +84,7 @@
 	}
 	b := &Balancer{set: set, rng: seed, byID: map[HostID]*host{}, reqs: map[RequestID]*request{}}
 	b.groups, b.shuns = map[groupKey][]*host{}, make([]tally, len(set.Classes))
-	b.aim = set.Classes[0].Aim
-	for _, c := range set.Classes {
-		b.aim = min(b.aim, c.Aim)
-		b.penalty = max(b.penalty, penaltyAims*c.Aim.Seconds())
-	}
-	b.decay = decayAims * b.aim.Seconds()
-	for _, t := range set.Tenants {
-		r := t.Quota / float64(set.Instances)
-		b.quota = append(b.quota, bucket{tokens: r * quotaBurst, rate: r})
-	}
+	b.derive()
 	b.lat = make([]mean, len(set.Classes))
 	b.layBands()
 	return b, nil
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -90,7 +90,7 @@
 		if calls != nil {
 			g.Admin(calls)
 		}
-		reload = func() error { return reloadPlatform(g) }
+		reload = func() error { return reloadPlatform(g, cfg) }
 		slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 	}
 	return run(g, reload, stop, hup, usr1)
@@ -153,15 +153,19 @@
 	}
 }
 
-// reloadPlatform takes over the address of discovery from the configuration as it is now.
-// All else there is used from the next start on. A file that is in error changes nothing.
-func reloadPlatform(g *gateway.Gateway) error {
-	cfg, err := config.ReloadPlatform(os.Getenv)
+// reloadPlatform takes over discovery and settings from the configuration as it is now. All else
+// there is used from the next start on. A file that is in error, or lacks what the one at the
+// start had, changes nothing.
+func reloadPlatform(g *gateway.Gateway, first *config.Platform) error {
+	cfg, err := config.ReloadPlatform(os.Getenv, first)
 	if err != nil {
 		return err
 	}
+	if err := g.Retune(cfg); err != nil {
+		return err
+	}
 	g.Move(cfg.Discovery)
-	slog.Info("configuration reloaded", "discovery", cfg.Discovery)
+	slog.Info("configuration reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Classes))
 	return nil
 }
 
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"lynxspool"
@@ -39,6 +42,8 @@
 	Zones   map[string]int
 	Kinds   map[string]int
 
+	shape *shape // of the file: what one that is read later must have
+
 	ConnIdle    time.Duration // a host closes a connection that was idle this long
 	DialTimeout time.Duration // a connection that is not up by then has failed
 }
@@ -77,8 +82,9 @@
 	Zones   []string `json:"azs"`
 	Kinds   []string
 	Caps    struct {
-		ConnIdle    float64 `json:"conn_idle"`    // microseconds
-		DialTimeout float64 `json:"dial_timeout"` // microseconds
+		MaxAttempts *float64 `json:"max_attempts"`
+		ConnIdle    float64  `json:"conn_idle"`    // microseconds
+		DialTimeout float64  `json:"dial_timeout"` // microseconds
 	}
 }
 
@@ -113,18 +119,104 @@
 			return nil, fmt.Errorf("GW_FD: %q is no number of a descriptor from 3 on", s)
 		}
 	}
-	return f.config()
+	c, err := f.config()
+	if err != nil {
+		return nil, err
+	}
+	var all any
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
+	}
+	c.shape = shapeOf(all)
+	return c, nil
 }
 
 // ReloadPlatform reads the file anew. Here its discovery goes before GW_DISCOVERY, which
-// the process was started with and cannot have changed since.
-func ReloadPlatform(getenv func(string) string) (*Platform, error) {
-	return LoadPlatform(func(name string) string {
+// the process was started with and cannot have changed since. What the file had at the start
+// it must have still: it guards against taking for a wish what was left out by mistake.
+func ReloadPlatform(getenv func(string) string, first *Platform) (*Platform, error) {
+	c, err := LoadPlatform(func(name string) string {
 		if name == "GW_DISCOVERY" {
 			return ""
 		}
 		return getenv(name)
 	})
+	if err != nil {
+		return nil, err
+	}
+	if key := first.shape.lacks(c.shape, ""); key != "" {
+		return nil, fmt.Errorf("GW_CONFIG: %s: missing", key)
+	}
+	return c, nil
+}
+
+// shape is which keys a JSON value has, without what they hold.
+type shape struct {
+	keys map[string]*shape // of an object
+	each *shape            // what all objects of a list have; nil: there are none
+	list bool
+}
+
+// shapeOf is the shape of a decoded value; null is no value.
+func shapeOf(v any) *shape {
+	switch v := v.(type) {
+	case map[string]any:
+		s := &shape{keys: make(map[string]*shape, len(v))}
+		for key, x := range v {
+			if x != nil {
+				s.keys[key] = shapeOf(x)
+			}
+		}
+		return s
+	case []any:
+		s := &shape{list: true}
+		for _, x := range v {
+			e := shapeOf(x)
+			if e.keys == nil {
+				continue
+			}
+			if s.each == nil {
+				s.each = e
+			} else {
+				s.each = s.each.common(e)
+			}
+		}
+		return s
+	}
+	return &shape{}
+}
+
+// common is what two objects have both.
+func (s *shape) common(o *shape) *shape {
+	both := &shape{keys: map[string]*shape{}}
+	for key, x := range s.keys {
+		if y := o.keys[key]; y != nil && x.keys != nil && y.keys != nil {
+			both.keys[key] = x.common(y)
+		} else if y != nil {
+			both.keys[key] = x
+		}
+	}
+	return both
+}
+
+// lacks names a key of s that o lacks, "" if there is none.
+func (s *shape) lacks(o *shape, at string) string {
+	if s.list && !o.list {
+		return at
+	}
+	if s.each != nil && o.each != nil {
+		return s.each.lacks(o.each, at+"[]")
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
+		x, in := o.keys[key], strings.TrimPrefix(at+"."+key, ".")
+		if x == nil {
+			return in
+		}
+		if missing := s.keys[key].lacks(x, in); missing != "" {
+			return missing
+		}
+	}
+	return ""
 }
 
 func (f *platformFile) config() (*Platform, error) {
@@ -168,6 +260,9 @@
 	if err := json.Unmarshal(f.Settings, &n); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if m := n.Caps.MaxAttempts; m != nil && !(*m > 0) {
+		return nil, fmt.Errorf("settings: caps.max_attempts: %v is not above 0", *m)
+	}
 	for _, t := range []struct {
 		field string
 		list  []named
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -189,6 +189,53 @@
 	p.perform(now)
 }
 
+// Retune has the pool's module take over new settings, and puts a plan into use that goes with
+// them, in one step. settle is called in the loop, with what says whether a request may be under
+// the number of a class still; its plan has the pool in it. It returns once that is done.
+func (e *Engine) Retune(p *Pool, settle func(inUse func(class int) bool) (set lynxspool.Settings, from []int, names []string, plan *Plan)) error {
+	done := make(chan error, 1)
+	if !e.post(func(now lynxspool.Time) { done <- e.retune(now, p, settle) }) {
+		return context.Canceled
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-e.done:
+		return context.Canceled
+	}
+}
+
+func (e *Engine) retune(now lynxspool.Time, p *Pool, settle func(func(int) bool) (lynxspool.Settings, []int, []string, *Plan)) error {
+	e.sweep()
+	used := map[int]bool{}
+	for _, x := range e.open {
+		used[x.Class] = used[x.Class] || x.pool == p
+	}
+	// Whoever is on a plan may yet submit a request of any of its classes.
+	for _, plan := range append(e.left[:len(e.left):len(e.left)], e.plan.Load()) {
+		for _, r := range plan.routes {
+			for _, class := range r.Names {
+				used[class] = true
+			}
+		}
+	}
+	set, from, names, plan := settle(func(class int) bool { return used[class] })
+	if p.record != nil {
+		p.record.rec.Classes(names)
+	}
+	if err := p.bal.Retune(now, set, from); err != nil {
+		return err
+	}
+	if p.record != nil {
+		for id, h := range p.hosts {
+			p.record.rec.Name(now, id, h.id)
+		}
+	}
+	e.use(now, plan)
+	p.perform(now)
+	return nil
+}
+
 // perform carries out what the module has decided. It is called behind each event of the
 // pool.
 func (p *Pool) perform(now lynxspool.Time) {
--- a/internal/flight/recorder.go
+++ b/internal/flight/recorder.go
@@ -16,6 +16,7 @@
 	Outcome(now lynxspool.Time, o lynxspool.Outcome)
 	Gone(now lynxspool.Time, id lynxspool.RequestID)
 	Timer(now lynxspool.Time, token uint64)
+	Retune(now lynxspool.Time, set lynxspool.Settings, from []int) error
 	Drain(dst []lynxspool.Action) []lynxspool.Action
 }
 
@@ -52,6 +53,7 @@
 type Recorder struct {
 	bal     *lynxspool.Balancer
 	opts    Options
+	first   Start
 	start   []byte // the payload of the first block: each dump begins with it
 	session uint64
 	base    lynxspool.Time // of the session
@@ -85,7 +87,7 @@
 		return nil, err
 	}
 	opts.Ring = max(opts.Ring, leastRing)
-	r := &Recorder{bal: bal, opts: opts, start: payload, session: session, base: start.At, last: start.At, viewAt: start.At}
+	r := &Recorder{bal: bal, opts: opts, first: start, start: payload, session: session, base: start.At, last: start.At, viewAt: start.At}
 	for i := range r.ring {
 		r.ring[i].data = make([]byte, 0, opts.Ring/segments)
 	}
@@ -264,6 +266,30 @@
 	r.bal.Timer(now, token)
 }
 
+// Classes names the classes that a Retune brings, for those who read.
+func (r *Recorder) Classes(names []string) { r.first.Classes = names }
+
+// Retune is the module's. The recording begins anew with it: a session whose state is known from
+// a checkpoint. Hosts are to be named again.
+func (r *Recorder) Retune(now lynxspool.Time, set lynxspool.Settings, from []int) error {
+	if err := r.bal.Retune(now, set, from); err != nil {
+		return err
+	}
+	r.flush()
+	for i := range r.ring {
+		r.ring[i].data = r.ring[i].data[:0]
+	}
+	r.first.Settings, r.first.At = set, now
+	if payload, err := json.Marshal(r.first); err == nil { // as it did at the start
+		r.start = payload
+	}
+	r.session, r.number, r.base, r.last = r.session+1, 0, now, now
+	r.emit(blockStart, now, r.start, false)
+	r.check = r.bal.Checkpoint(r.check[:0])
+	r.emit(blockCheckpoint, now, r.check, true)
+	return nil
+}
+
 // Drain is the module's, recorded.
 func (r *Recorder) Drain(dst []lynxspool.Action) []lynxspool.Action {
 	n := len(dst)
--- a/internal/flight/replay.go
+++ b/internal/flight/replay.go
@@ -50,6 +50,7 @@
 	watch    Watcher
 	start    *Start
 	bal      *lynxspool.Balancer // nil while its state is unknown
+	fresh    bool                // it has been told nothing since its session began
 	event    Event               // the last one told
 	told     bool                // there is one whose actions are being collected
 	hosts    []lynxspool.Host    // of event
@@ -81,7 +82,7 @@
 		switch it.Kind {
 		case ItemSession:
 			p.Sessions++
-			p.start = it.Start
+			p.start, p.fresh = it.Start, true
 			if p.bal, err = lynxspool.New(it.Start.Settings, it.Start.Seed); err != nil {
 				return &p.Report, fmt.Errorf("the start of a session: %w", err)
 			}
@@ -119,7 +120,9 @@
 	if err != nil {
 		return err
 	}
-	if p.bal != nil && p.First == nil {
+	if p.fresh {
+		// A session that goes on from the one before: this is its state.
+	} else if p.bal != nil && p.First == nil {
 		p.a = p.bal.Checkpoint(p.a[:0])
 		if !bytes.Equal(p.a, saved) {
 			p.differ("state", fmt.Sprintf("a checkpoint of %d bytes", len(saved)), fmt.Sprintf("another of %d bytes", len(p.a)))
@@ -127,7 +130,7 @@
 			p.Checked++
 		}
 	}
-	p.bal = bal
+	p.bal, p.fresh = bal, false
 	return nil
 }
 
@@ -137,6 +140,7 @@
 		return
 	}
 	p.Events++
+	p.fresh = false
 	p.event, p.told = *e, true
 	p.event.Hosts = append(p.hosts[:0], e.Hosts...) // the reader will use its own anew
 	p.hosts = p.event.Hosts
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"lynxspool/internal/front"
 	"lynxspool/internal/front/http1"
 	hosts "lynxspool/internal/host/http1"
+	"lynxspool/internal/places"
 	"lynxspool/internal/route"
 	"lynxspool/internal/sole"
 )
@@ -54,8 +55,11 @@
 	half    func()             // leaves half of what the machine has to another process; nil: there is none
 	box     *box               // of an appliance
 
-	transport *hosts.Transport // of the platform
-	shared    bool             // the platform holds the socket for clients
+	// Of the platform.
+	pool      *engine.Pool
+	classes   []places.Class // by their number
+	transport *hosts.Transport
+	shared    bool // the platform holds the socket for clients
 }
 
 // newGateway makes one that has no pool yet.
@@ -144,10 +148,8 @@
 	go transport.Run(g.ctx)
 	go g.engine.Run(g.ctx)
 	pool.Members(lynxspool.ListSaved, cfg.Known)
-	g.engine.Use(g.engine.NewPlan(nil, []*engine.Route{{
-		Classes: cfg.Settings.Classes, Names: cfg.Classes, Tenants: cfg.Tenants,
-		Judge: func(a *engine.Answer) lynxspool.Result { return route.Protocol(a.Status, unseen(a)) },
-	}}, nil, engine.PoolUse{Pool: pool, Need: 1}))
+	g.pool, g.classes = pool, named(cfg)
+	g.engine.Use(g.platformPlan(cfg))
 	if !shared {
 		go g.watcher.Run(g.ctx, pool)
 		g.serve(ln)
@@ -170,6 +172,60 @@
 	return g, nil
 }
 
+// platformPlan is the one route to the one pool, for the classes of cfg by their numbers.
+func (g *Gateway) platformPlan(cfg *config.Platform) *engine.Plan {
+	names := make(map[string]int, len(cfg.Classes))
+	rules := make([]lynxspool.Class, len(g.classes))
+	for i, c := range g.classes {
+		if rules[i] = c.Rules; !c.Rules.Retired {
+			names[c.Name] = i
+		}
+	}
+	return g.engine.NewPlan(nil, []*engine.Route{{
+		Classes: rules, Names: names, Tenants: cfg.Tenants,
+		Judge: func(a *engine.Answer) lynxspool.Result { return route.Protocol(a.Status, unseen(a)) },
+	}}, nil, engine.PoolUse{Pool: g.pool, Need: 1})
+}
+
+// named is the classes of a configuration in their order.
+func named(cfg *config.Platform) []places.Class {
+	list := make([]places.Class, len(cfg.Settings.Classes))
+	for i, c := range cfg.Settings.Classes {
+		list[i].Rules = c
+	}
+	for name, i := range cfg.Classes {
+		list[i].Name = name
+	}
+	return list
+}
+
+// Retune has the settings of cfg take effect for what comes from now on; requests under way
+// keep what they came under. On an error nothing has changed.
+func (g *Gateway) Retune(cfg *config.Platform) error {
+	was := g.classes
+	err := g.engine.Retune(g.pool, func(inUse func(int) bool) (lynxspool.Settings, []int, []string, *engine.Plan) {
+		list, from := places.Next(was, named(cfg), inUse)
+		set := cfg.Settings
+		set.Classes = make([]lynxspool.Class, len(list))
+		names := make([]string, len(list))
+		for i, c := range list {
+			set.Classes[i], names[i] = c.Rules, c.Name
+		}
+		g.classes = list
+		return set, from, names, g.platformPlan(cfg)
+	})
+	if err != nil {
+		g.classes = was
+		return err
+	}
+	longest := time.Duration(0)
+	for _, c := range cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	g.server.SetLongest(longest)
+	return nil
+}
+
 // listTime is how long a gateway that takes over from another waits for discovery to speak
 // before it serves by the list that it was given: it must be ready within 6 s.
 const listTime = 2 * time.Second
--- a/settings.go
+++ b/settings.go
@@ -48,6 +48,7 @@
 		}
 	}
 	set.Classes = append([]Class(nil), set.Classes...)
+	live := false
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		switch {
@@ -68,6 +69,10 @@
 			c.Aim = c.Deadline
 		}
 		orDefault(&c.Worth, 1)
+		live = live || !c.Retired
+	}
+	if !live {
+		return errors.New("settings: classes: all are retired")
 	}
 	for i, t := range set.Tenants {
 		if !isFigure(t.Quota) {
--- a/state.go
+++ b/state.go
@@ -266,6 +266,23 @@
 	at           Time
 }
 
+// derive works out what follows from the settings alone.
+func (b *Balancer) derive() {
+	b.aim, b.penalty = forever, 0
+	for _, c := range b.set.Classes {
+		if c.Retired {
+			continue
+		}
+		b.aim = min(b.aim, c.Aim)
+		b.penalty = max(b.penalty, penaltyAims*c.Aim.Seconds())
+	}
+	b.decay = decayAims * b.aim.Seconds()
+	for _, t := range b.set.Tenants {
+		r := t.Quota / float64(b.set.Instances)
+		b.quota = append(b.quota, bucket{tokens: r * quotaBurst, rate: r})
+	}
+}
+
 // forget drops a removed host once nothing of ours is out there.
 func (b *Balancer) forget(h *host) {
 	if h.State != Removed || h.pending > 0 || b.byID[h.ID] != h {
