Messages beyond 64 KiB flow on the platform as on plain routes

Change: how bodies flow is a setting of any route (engine.Streams), one exchange with hosts for both protocols; up to 64 KiB all is held as before, beyond it the time is for the first bytes, and what comes at once is held so that most spoilt answers can be asked for again; pace in place of a total time; answers that end with a connection that says so; nothing is held back while a chunk rests. Not taken: files in TMPDIR, which count as memory.

--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -26,9 +26,10 @@
 	// PassOn has the client get what a host said last, also where that is no success, once
 	// the request may have no other attempt.
 	PassOn bool
-	// Plain is set for clients that bring none of our headers. Only on such routes do bodies
-	// flow.
+	// Plain is set for clients that bring none of our headers.
 	Plain *Plain
+	// Streams is how bodies flow that are not held whole; nil: all are.
+	Streams *Streams
 
 	rule   *route.Route  // nil: the one pool takes all
 	chains []*chain      // in the order of the rule's split
@@ -43,16 +44,21 @@
 	Timeout    time.Duration // from its last byte to its answer
 	Repeatable []string      // methods that may be sent again though they are not safe
 
-	Hold     int64     // bytes of a request's body that are held, so that it can be sent again
-	MaxBody  int64     // bytes of a request's body; 0: any
-	Stream   bool      // the time is for the answer's head; what follows has its pace only
-	Pace     body.Pace // of clients and hosts, while a body flows
-	Upgrades int       // connections that may go over to another protocol at once; 0: none
+	Upgrades int // connections that may go over to another protocol at once; 0: none
 	Tunnels  atomic.Int64
 
 	Requests, Answers HeaderRules
 }
 
+// Streams is how bodies flow on a route.
+type Streams struct {
+	Hold    int64     // bytes of a request's body that are held, so that it can be sent again
+	MaxBody int64     // bytes of a request's body; 0: any
+	Stream  bool      // the time is for the answer's first bytes; what follows has its pace only
+	Pace    body.Pace // of hosts, and of clients that take an answer
+	Upload  body.Pace // of clients that send
+}
+
 // SplitBy is the header that keeps a client at one pool; "": chance.
 func (r *Route) SplitBy() string {
 	if r.rule == nil {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -16,6 +16,10 @@
 // attemptsMost is how many attempts a request has at most, whatever pools it comes to.
 const attemptsMost = 4
 
+// looseRetryAfter is when a request may come back whose one attempt never ran, and which is not
+// held so that it could have another: at once, as it is one host that was at fault.
+const looseRetryAfter = 50 * time.Millisecond
+
 // PoolConfig is what a pool is made of.
 type PoolConfig struct {
 	Name      string
@@ -367,7 +371,7 @@
 		}
 	}
 	if x.loose {
-		p.spent(x)
+		p.spent(x, outcome)
 		return
 	}
 	x.proved = x.proved && neverRan(outcome)
@@ -381,15 +385,17 @@
 }
 
 // spent is the end of the one attempt of a request whose body was let go: the client gets what
-// the host said, or a failure.
-func (p *Pool) spent(x *Request) {
+// the host said, a refusal where nothing of it ever ran, or a failure.
+func (p *Pool) spent(x *Request, outcome lynxspool.Result) {
 	if !x.Over() {
 		final := Answer{Kind: Failed}
 		if x.last.Kind == Served {
 			final, x.last = x.last, Answer{}
+		} else if x.proved && neverRan(outcome) {
+			final = Answer{Kind: Refused, RetryAfter: min(looseRetryAfter, p.cfg.Settings.MaxRetryAfter)}
 		}
 		if x.finish(final) {
-			p.answered(false)
+			p.answered(final.Kind == Refused)
 		} else {
 			final.discard()
 		}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -132,6 +132,15 @@
 	Close() error
 }
 
+// FreeHeld gives back what the part of the body that is in memory holds of a budget. Nobody
+// looks at it any more.
+func (a *Answer) FreeHeld() {
+	if a.Free != nil {
+		a.Free()
+		a.Free = nil
+	}
+}
+
 // Release is called by whoever has an Answer last; a second time it does nothing.
 func (a *Answer) Release() {
 	if f := a.Body.Flow(); f != nil {
@@ -140,10 +149,7 @@
 	if a.Tunnel != nil {
 		a.Tunnel.Close()
 	}
-	if a.Free != nil {
-		a.Free()
-		a.Free = nil
-	}
+	a.FreeHeld()
 }
 
 // discard releases an answer from the loop, which must not wait for what flows to end.
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -31,8 +31,9 @@
 )
 
 const (
-	// MaxBody is the longest body of a request.
-	MaxBody = 64 << 10
+	// MaxBody is the longest body of a request in our protocol, MaxHeld what is held of it.
+	MaxBody = 32 << 20
+	MaxHeld = 64 << 10
 	// answerMargin is how long before the client stops waiting the answer is due. From
 	// a host's answer to the client 0.4 ms pass in 99 of 100 cases, as measured; a
 	// shared core may hold us up a few more.
@@ -52,7 +53,7 @@
 	Header http.Header
 	Length int64 // of the body, -1 where that is not known
 	Peer   Peer
-	Odd    bool // in a form that our own protocol does not have: HTTP/1.0, chunks
+	Odd    bool // in a form that our own protocol does not have: HTTP/1.0
 }
 
 // BadRequest says why a request goes to no host, and with what status.
@@ -206,20 +207,23 @@
 			e.Key, _ = e.header(by)
 		}
 	}
+	most := int64(MaxHeld)
+	if s := e.Route.Streams; s != nil {
+		most = s.MaxBody
+	} else if m.Length < 0 {
+		return Bad(http.StatusBadRequest, "the body needs a Content-Length")
+	}
+	if most > 0 && m.Length > most {
+		return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", most)
+	}
 	if p := e.Route.Plain; p != nil {
 		if n := e.gate.HeadersMost; n > 0 && count(m.Header) > n {
 			return Bad(http.StatusRequestHeaderFieldsTooLarge, "more than %d headers", n)
 		}
-		if p.MaxBody > 0 && m.Length > p.MaxBody {
-			return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", p.MaxBody)
-		}
 		return e.plain(m)
 	}
-	if m.Length < 0 || m.Odd {
-		return Bad(http.StatusBadRequest, "the body needs a Content-Length, in HTTP/1.1")
-	}
-	if m.Length > MaxBody {
-		return Bad(http.StatusRequestEntityTooLarge, "the body is longer than %d bytes", MaxBody)
+	if m.Odd {
+		return Bad(http.StatusBadRequest, "requests come in HTTP/1.1")
 	}
 	return e.protocol(m, came)
 }
@@ -291,7 +295,7 @@
 		}
 	}
 	if safe := rules.Effect == lynxspool.Safe; safe != (m.Method == http.MethodGet) ||
-		!safe && m.Method != http.MethodPost || safe && m.Length > 0 {
+		!safe && m.Method != http.MethodPost || safe && m.Length != 0 {
 		return Bad(http.StatusBadRequest, "a request of this class has another method")
 	}
 	if rules.Effect == lynxspool.Keyed && key == "" {
@@ -399,12 +403,12 @@
 // holdLess is how much is held of a body when memory for them is near its end.
 const holdLess = 4 << 10
 
-// HoldMost is how much of its body a request of a plain route may hold now.
+// HoldMost is how much of its body a request may hold now whose body may flow.
 func (e *Entry) HoldMost() int64 {
 	if e.gate.Bodies.Near(body.Requests) {
-		return min(e.Route.Plain.Hold, holdLess)
+		return min(e.Route.Streams.Hold, holdLess)
 	}
-	return e.Route.Plain.Hold
+	return e.Route.Streams.Hold
 }
 
 // Arrived says when the last byte of the request came: its time counts from there. Of a body
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -31,6 +31,7 @@
 	Longest time.Duration // deadline of any class
 	Plain   bool          // there may be routes for clients that know nothing of our protocol
 	Head    int           // bytes that a request's head may have; 0: maxRequestHead
+	Heads   bool          // heads are kept as they come, to be checked; as where Plain is set
 	Shared  bool          // another process listens on the same sockets: what comes new is its business once we stop
 }
 
@@ -64,7 +65,7 @@
 	// What a client goes on sending behind an error is read for drainTime, drainBytes at
 	// most: enough for whoever was a little over the limit to see why.
 	drainTime   = 500 * time.Millisecond
-	drainBytes  = 4 * front.MaxBody
+	drainBytes  = 4 * front.MaxHeld
 	idleTimeout = 15 * time.Second // for a connection with no request: some are never used again
 	// idleLeast is how long a connection with no request is left open even when there
 	// is need of room: a close sooner may cross a request that the client has begun.
@@ -86,6 +87,7 @@
 type Server struct {
 	gate    *front.Gate
 	plain   bool // there may be plain routes
+	heads   bool // heads are kept as they come
 	shared  bool
 	http    http.Server
 	longest atomic.Int64 // deadline of any class, a time.Duration
@@ -101,7 +103,7 @@
 
 // New returns a Server that brings its requests through gate.
 func New(gate *front.Gate, o Options) *Server {
-	s := &Server{gate: gate, plain: o.Plain, shared: o.Shared, listeners: map[net.Listener]*atomic.Pointer[ListenOptions]{}, leave: make(chan struct{})}
+	s := &Server{gate: gate, plain: o.Plain, heads: o.Heads || o.Plain, shared: o.Shared, listeners: map[net.Listener]*atomic.Pointer[ListenOptions]{}, leave: make(chan struct{})}
 	s.SetLongest(o.Longest)
 	s.Limit(o.Sockets, o.Spare)
 	s.http = http.Server{
@@ -159,7 +161,7 @@
 		s.listeners[ln] = opts
 	}
 	s.mu.Unlock()
-	err := s.http.Serve(clientListener{ln, s.plain, opts})
+	err := s.http.Serve(clientListener{ln, s.heads, opts})
 	s.mu.Lock()
 	_, there := s.listeners[ln]
 	s.mu.Unlock()
@@ -273,7 +275,7 @@
 	x, err := s.read(c, w, r, came)
 	if err != nil {
 		var turned *front.Turned
-		if errors.As(err, &turned) && r.ContentLength >= 0 && r.ContentLength <= front.MaxBody {
+		if errors.As(err, &turned) && r.ContentLength >= 0 && r.ContentLength <= front.MaxHeld {
 			// The connection goes on: a new one would cost more than this answer. net/http
 			// reads what little body there is.
 			w.Header().Set("Retry-After", retryAfter(turned.After, s.plain))
@@ -287,8 +289,8 @@
 		return
 	}
 	defer x.End()
-	if x.Route.Plain != nil {
-		s.servePlain(w, r, c, x)
+	if x.Route.Streams != nil {
+		s.serveStreams(w, r, c, x)
 		return
 	}
 	a, there := s.gate.Engine.Do(r.Context(), &x.Request)
@@ -356,10 +358,7 @@
 func (s *Server) read(c *clientConn, w http.ResponseWriter, r *http.Request, came time.Time) (*front.Entry, error) {
 	m := front.Message{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Length: r.ContentLength,
-		// A length beside a Transfer-Encoding may hide another request in the body, and
-		// net/http drops the one or, in HTTP/1.0, the other unsaid. Clients of our own
-		// protocol send a length, in HTTP/1.1.
-		Odd: len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1),
+		Odd: !r.ProtoAtLeast(1, 1),
 	}
 	if s.plain {
 		m.Peer = c.peer()
@@ -373,20 +372,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if x.Route.Plain != nil {
-		err = s.readPlain(c, w, r, x, raw, asked)
+	if x.Route.Streams != nil {
+		err = s.readStreams(c, w, r, x, raw, asked)
 	} else if n := r.ContentLength; n > 0 {
 		err = readWhole(r, x, n)
-		came = time.Now() // a request's time counts from its last byte, which may come long after its first
+		came = time.Now()
 	}
 	if err != nil {
 		x.Drop()
 		return nil, err
 	}
+	if x.Route.Streams != nil && r.ContentLength != 0 {
+		// A request's time counts from its last byte, which may come long after its first; where
+		// it is yet to come, no time has passed.
+		came = time.Now()
+	}
 	if x.Body.Whole() {
-		if x.Route.Plain != nil && r.ContentLength != 0 {
-			came = time.Now()
-		}
 		// The time for reading is over; left standing it would end the wait for the answer.
 		c.SetReadDeadline(time.Time{})
 	}
--- /dev/null
+++ b/internal/front/http1/source_test.go
@@ -0,0 +1,53 @@
+package http1
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"lynxspool/internal/body"
+	"lynxspool/internal/testkit"
+)
+
+// A read that ends as we gave the body up is not taken for a client that is too slow: it guards
+// against blaming the client, with 408, for a host that broke off.
+func TestGivenUpIsNotTooSlow(t *testing.T) {
+	ln := testkit.Listen(t, "127.0.0.1:0", nil)
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	c := &clientConn{TCPConn: nc.(*net.TCPConn)}
+	s := &clientSource{
+		c: c, r: &http.Request{Body: c}, meter: body.Meter{Pace: body.Pace{Idle: time.Minute}},
+		alarm: body.Alarm{Set: c.SetReadDeadline},
+	}
+	flow := body.NewFlow(s, -1)
+	if err := flow.Take(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := flow.Read(make([]byte, 1))
+		ended <- err
+	}()
+	testkit.Until(t, "it is being read", func() bool {
+		if s.busy.TryLock() {
+			s.busy.Unlock()
+			return false
+		}
+		return true
+	})
+	flow.Close()
+	if err := <-ended; err != body.ErrTaken || flow.Err() != body.ErrTaken {
+		t.Errorf("it ended with %v, and is said to with %v", err, flow.Err())
+	}
+}
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -340,7 +340,7 @@
 // routeOf is a route of the file for the engine.
 func routeOf(name string, r config.Route, c *classes, shed bool) *engine.Route {
 	out := &engine.Route{
-		Name: name, Classes: c.list, Names: c.index,
+		Name: name, Classes: c.list, Names: c.index, Streams: protocolStreams(),
 		Judge: func(a *engine.Answer) lynxspool.Result { return route.Protocol(a.Status, unseen(a)) },
 	}
 	if shed {
@@ -352,9 +352,10 @@
 	i := c.index[r.Class]
 	out.Plain = &engine.Plain{
 		Class: i, Unsafe: c.once[i], Timeout: r.Timeout, Repeatable: r.Repeatable,
-		Hold: r.Hold, MaxBody: r.MaxBody, Stream: r.Stream, Upgrades: r.Upgrades,
-		Pace: body.Pace{Idle: r.Idle, Least: r.LeastRate}, Requests: r.Request, Answers: r.Answer,
+		Upgrades: r.Upgrades, Requests: r.Request, Answers: r.Answer,
 	}
+	pace := body.Pace{Idle: r.Idle, Least: r.LeastRate}
+	out.Streams = &engine.Streams{Hold: r.Hold, MaxBody: r.MaxBody, Stream: r.Stream, Pace: pace, Upload: pace}
 	out.PassOn = true
 	failures := r.Failures
 	out.Judge = func(a *engine.Answer) lynxspool.Result { return route.Plain(a.Status, unseen(a), failures) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 		longest = max(longest, c.Deadline)
 	}
 	shared := cfg.ClientsFD > 0
-	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), http1.Options{Longest: longest, Shared: shared})
+	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), http1.Options{Longest: longest, Shared: shared, Heads: true})
 	transport := hosts.New(hosts.Options{
 		Sockets: int(config.HostSockets(cfg.Sockets)), Memory: int64(largeShare * float64(cfg.Memory())),
 		ConnIdle: cfg.ConnIdle, DialTimeout: cfg.DialTimeout, Budget: g.gate.Bodies,
@@ -172,6 +172,19 @@
 	return g, nil
 }
 
+// protocolStreams is how bodies flow in our own protocol: up to 64 KiB are held whole, so that
+// a request can be sent again; the time of a longer answer is for its first bytes. Clients may
+// send 64 kB a second, in pieces: an eighth of that is slow, and without a byte for 2 s nothing
+// more will come, as whoever sends what is bad is owed an error within 3 s. Whoever takes an
+// answer, or makes one, may rest for longer.
+func protocolStreams() *engine.Streams {
+	return &engine.Streams{
+		Hold: front.MaxHeld, MaxBody: front.MaxBody, Stream: true,
+		Pace:   body.Pace{Idle: 10 * time.Second},
+		Upload: body.Pace{Idle: 2 * time.Second, Least: 8 << 10},
+	}
+}
+
 // platformPlan is the one route to the one pool, for the classes of cfg by their numbers.
 func (g *Gateway) platformPlan(cfg *config.Platform) *engine.Plan {
 	names := make(map[string]int, len(cfg.Classes))
@@ -182,7 +195,7 @@
 		}
 	}
 	return g.engine.NewPlan(nil, []*engine.Route{{
-		Classes: rules, Names: names, Tenants: cfg.Tenants,
+		Classes: rules, Names: names, Tenants: cfg.Tenants, Streams: protocolStreams(),
 		Judge: func(a *engine.Answer) lynxspool.Result { return route.Protocol(a.Status, unseen(a)) },
 	}}, nil, engine.PoolUse{Pool: g.pool, Need: 1})
 }
--- a/internal/host/http1/flow.go
+++ b/internal/host/http1/flow.go
@@ -29,8 +29,22 @@
 	chunkRoom = 8
 )
 
-// flows says whether what a request and its answer carry may flow: on plain routes.
-func flows(x *engine.Request) bool { return x.Route != nil && x.Route.Plain != nil }
+// plain says whether the route's hosts speak plain HTTP, and not our protocol.
+func plain(x *engine.Request) bool { return x.Route != nil && x.Route.Plain != nil }
+
+// begun says whether some of what flows has been let go: it can't be sent again.
+func begun(x *engine.Request) bool { return !x.Body.Whole() && x.Body.Flow().Taken() }
+
+// streams is how bodies flow on the request's route.
+func streams(x *engine.Request) *engine.Streams {
+	if x.Route == nil || x.Route.Streams == nil {
+		return &heldWhole
+	}
+	return x.Route.Streams
+}
+
+// heldWhole is for routes that say nothing of how bodies flow: answers do, at any pace.
+var heldWhole = engine.Streams{Stream: true, Pace: body.Pace{Idle: headTime}}
 
 // expects says whether the host is to be asked before the body is sent: where nothing of it
 // has been asked of the client yet.
@@ -101,7 +115,7 @@
 	}
 	defer u.t.bodies.Return(buf)
 	chunked := u.x.Body.Len() < 0
-	meter, alarm := body.Meter{Pace: u.x.Route.Plain.Pace}, body.Alarm{Set: u.c.SetWriteDeadline}
+	meter, alarm := body.Meter{Pace: streams(u.x).Pace}, body.Alarm{Set: u.c.SetWriteDeadline}
 	b := *buf
 	for {
 		n, err := flow.Read(b[chunkRoom : len(b)-2])
@@ -154,27 +168,28 @@
 
 var errNoMemory = errors.New("http1: no memory for what flows")
 
-// exchangePlain writes a request to a connection and reads the head of its answer; what
-// follows flows, unless it is short. By plain HTTP nothing proves that a request did not run
-// once a byte of it is out.
-func (t *Transport) exchangePlain(ctx context.Context, c *conn, x *engine.Request) engine.Result {
+// exchange writes a request to a connection and reads the head of its answer, with the part of
+// the body that is held; what follows flows. By our protocol a request never ran whose last byte
+// did not go out; by plain HTTP nothing proves that once a byte of it is out.
+func (t *Transport) exchange(ctx context.Context, c *conn, x *engine.Request) engine.Result {
 	// Giving up an attempt is closing its connection.
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	pace := x.Route.Plain.Pace
-	held, tail := x.Body.Bytes(), []byte(nil)
+	held, tail, strict := x.Body.Bytes(), []byte(nil), !plain(x)
 	if x.Body.Len() < 0 && len(held) > 0 {
 		tail = crlf // of the chunk that is held
 	}
 	head := encodeHead(x, joinMost)
 	all := len(head) + len(held) + len(tail)
-	c.SetWriteDeadline(time.Now().Add(pace.Idle))
+	if !strict || !x.Body.Whole() {
+		c.SetWriteDeadline(time.Now().Add(streams(x).Pace.Idle))
+	}
 	if n, err := c.writeAll(head, held, tail); n < all || err != nil {
 		stop()
 		t.drop(c)
 		switch {
-		case n == all:
+		case n == all && (x.Body.Whole() || !strict):
 			return engine.Ended(lynxspool.Reset)
-		case ctx.Err() != nil && n == 0:
+		case ctx.Err() != nil && (n == 0 || strict):
 			return engine.Ended(unsent(ctx))
 		case ctx.Err() != nil:
 			return engine.Ended(lynxspool.Canceled)
@@ -189,16 +204,20 @@
 	}
 	if err != nil {
 		stop()
-		up.stop()
+		whole := up.stop() // the last byte went out
 		t.drop(c)
-		if ctx.Err() != nil {
+		a.FreeHeld()
+		if ctx.Err() != nil && whole {
 			t.unheard(c.host, wrote)
 		}
-		a.Free = nil
 		switch {
+		case up.client || ctx.Err() != nil && !whole:
+			return engine.Ended(lynxspool.Canceled)
+		case !whole && strict:
+			return engine.Result{Outcome: lynxspool.ConnectFailed, Part: true}
 		case errors.Is(ctx.Err(), context.DeadlineExceeded):
 			return engine.Ended(lynxspool.TimedOut)
-		case ctx.Err() != nil || up.client:
+		case ctx.Err() != nil:
 			return engine.Ended(lynxspool.Canceled)
 		case errors.Is(err, errSpoilt):
 			return engine.Ended(lynxspool.Spoilt)
@@ -215,7 +234,7 @@
 		c.SetWriteDeadline(time.Time{})
 		a.Tunnel = &tunnel{conn: c, t: t}
 	case rest != nil:
-		a.Body = body.Flowing(nil, body.NewFlow(rest, rest.length))
+		a.Body = body.Flowing(rest.held, body.NewFlow(rest, rest.length))
 	default:
 		c.settle(t, up, keeps(a.Header, c))
 	}
@@ -243,7 +262,7 @@
 
 // keeps says whether the connection can carry another request behind this answer.
 func keeps(h http.Header, c *conn) bool {
-	return c.proto == "HTTP/1.1" && c.in.Buffered() == 0 && !strings.Contains(strings.ToLower(h.Get("Connection")), "close")
+	return c.proto == "HTTP/1.1" && c.in.Buffered() == 0 && !closes(h)
 }
 
 // settle gives a connection back behind a whole answer. An upload that is still on ends: the
@@ -259,10 +278,14 @@
 }
 
 // readAnswer reads the head of the final answer, and its body where that is short; else rest
-// is where the body flows from.
+// is where the body flows from. What comes but is no answer that is sure to be whole is errSpoilt,
+// at once where it can be told: it guards clients against being served with what no host made.
 func (c *conn) readAnswer(t *Transport, x *engine.Request, up *upload) (a engine.Answer, rest *answerSource, err error) {
 	began := false
 	defer func() {
+		c.within(0)
+		// Where the connection ends within an answer the host has gone; where it stays open
+		// and no answer comes of what it brings, that is all there will be.
 		if began && err != nil && (c.limit.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
 			err = errSpoilt
 		}
@@ -274,7 +297,12 @@
 			return a, nil, err
 		}
 		began = true
-		c.SetReadDeadline(time.Now().Add(headTime))
+		if plain(x) {
+			c.SetReadDeadline(time.Now().Add(headTime))
+		} else {
+			c.within(answerGap)
+		}
+		// Noise may lack a line's end: it need not be waited for.
 		first, _ = c.in.Peek(min(c.in.Buffered(), len(protoPrefix)))
 		if !strings.HasPrefix(protoPrefix, string(first)) {
 			return a, nil, errSpoilt
@@ -282,7 +310,9 @@
 		if c.proto, a.Status, a.Header, err = c.readHead(); err != nil {
 			return a, nil, err
 		}
-		c.SetReadDeadline(time.Time{})
+		if plain(x) {
+			c.SetReadDeadline(time.Time{})
+		}
 		switch {
 		case a.Status == http.StatusContinue:
 			select {
@@ -303,21 +333,23 @@
 			x.Inform(a.Status, a.Header)
 		}
 		began = false // those come ahead of the answer, which may take its time
+		c.within(0)
 	}
 }
 
-// frame finds how the body of an answer ends (RFC 9112, 6.3), and reads it if it is short and
-// has a length. Two ways that disagree are none: what is passed on so would be read otherwise
-// by the next in the chain.
+// frame finds how the body of an answer ends (RFC 9112, 6.3), and reads the part that is held.
+// Two ways that disagree are none: what is passed on so would be read otherwise by the next in
+// the chain.
 func (c *conn) frame(t *Transport, x *engine.Request, up *upload, a *engine.Answer) (*answerSource, error) {
 	c.limit.N = noLimit
 	if bodyless(x.Method, a.Status) {
 		return nil, nil
 	}
+	flow, strict := streams(x), !plain(x)
 	lengths, encodings := a.Header["Content-Length"], a.Header["Transfer-Encoding"]
-	s := &answerSource{t: t, c: c, x: x, up: up, header: a.Header, length: -1, meter: body.Meter{Pace: x.Route.Plain.Pace}}
+	s := &answerSource{t: t, c: c, x: x, up: up, header: a.Header, length: -1, meter: body.Meter{Pace: flow.Pace}}
 	s.alarm.Set = c.SetReadDeadline
-	if due, known := x.Due(); x.Route.Plain.Stream {
+	if due, known := x.Due(); flow.Stream {
 		s.meter.Least = 0 // an event stream says something when there is something to say
 	} else if known {
 		s.due = due
@@ -327,12 +359,12 @@
 		return nil, errSpoilt
 	case len(lengths) == 1:
 		n, err := strconv.ParseInt(lengths[0], 10, 64)
-		if err != nil || n < 0 || strings.Trim(lengths[0], "0123456789") != "" {
+		if err != nil || n < 0 || strings.Trim(lengths[0], "0123456789") != "" || strict && n > maxAnswer {
 			return nil, errSpoilt
 		}
 		if n <= maxBody {
 			text := body.Page(n)
-			if int64(c.in.Buffered()) < n {
+			if !strict && int64(c.in.Buffered()) < n {
 				c.SetReadDeadline(time.Now().Add(s.meter.Wait()))
 			}
 			if _, err := io.ReadFull(c.in, text); err != nil {
@@ -342,14 +374,103 @@
 			return nil, nil
 		}
 		s.length, s.reader = n, io.LimitReader(c.in, n)
+		if strict {
+			return c.holdSome(s, a, min(n, holdMost), n)
+		}
 	case len(encodings) == 1:
 		if !strings.EqualFold(strings.TrimSpace(encodings[0]), "chunked") {
 			return nil, errSpoilt
 		}
 		s.chunked, s.reader = true, httputil.NewChunkedReader(c.in)
+		if strict {
+			return c.holdOpen(s, a)
+		}
+	case strict && !closes(a.Header):
+		return nil, errSpoilt // nothing would tell a whole body from a cut one
 	default:
 		s.toEnd, s.reader = true, c.in
+		if strict {
+			return c.holdOpen(s, a)
+		}
+	}
+	return s, nil
+}
+
+// closes says whether a host has said that the connection ends with its answer.
+func closes(h http.Header) bool {
+	return strings.Contains(strings.ToLower(h.Get("Connection")), "close")
+}
+
+const (
+	// Of an answer in our protocol that is longer than maxBody, so much is held before any of it
+	// goes on, if it comes within holdTime: most that are spoilt show by then, and the request
+	// can have another attempt. The time of an answer is that of its first bytes.
+	holdMost = 512 << 10
+	holdTime = 25 * time.Millisecond
+)
+
+// holdSome reads up to k of the n bytes of an answer. If that is all, or memory is short, it is
+// as if there were no other way.
+func (c *conn) holdSome(s *answerSource, a *engine.Answer, k, n int64) (*answerSource, error) {
+	if !s.t.take(k) {
+		return s, nil
+	}
+	free := func() { s.t.large.Add(-k) }
+	held := make([]byte, k)
+	c.gap = 0
+	c.SetReadDeadline(time.Now().Add(holdTime))
+	got, err := io.ReadFull(s.reader, held)
+	switch {
+	case err == nil && k == n:
+		a.Body, a.Free = body.Held(held), free
+		return nil, nil
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		free()
+		return nil, err
+	}
+	s.held, s.read, a.Free = held[:got], int64(got), free
+	return s, nil
+}
+
+// holdOpen reads up to maxBody of an answer whose length is not known, for as long as more of it
+// is there or comes within holdTime: whether it will be a long one can't be told, and then its
+// time is that of its first bytes.
+func (c *conn) holdOpen(s *answerSource, a *engine.Answer) (*answerSource, error) {
+	held := body.Page(maxBody)
+	got, err, until := 0, error(nil), time.Now().Add(holdTime)
+	for got < len(held) && err == nil {
+		if c.in.Buffered() == 0 {
+			c.gap = 0
+			c.SetReadDeadline(until)
+			if _, err := c.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+				break // it goes on as it comes
+			}
+			c.gap = answerGap
+		}
+		var n int
+		n, err = s.some(held[got:])
+		got += n
+	}
+	if err == io.EOF {
+		if s.chunked {
+			_, err = c.readTrailer() // nothing that our protocol passes on
+		} else {
+			err = nil
+		}
+		if err == nil {
+			a.Body, a.Free = body.Held(held[:got]), func() { body.Recycle(held) }
+			return nil, nil
+		}
+	}
+	if err != nil {
+		body.Recycle(held)
+		var broken net.Error
+		if err != io.ErrUnexpectedEOF && !errors.As(err, &broken) {
+			err = errSpoilt // a chunk that is none
+		}
+		return nil, err
 	}
+	s.held, s.read, a.Free = held[:got], int64(got), func() { body.Recycle(held) }
 	return s, nil
 }
 
@@ -364,6 +485,7 @@
 	alarm  body.Alarm
 	due    time.Time // of the last byte; zero: it has its pace only
 
+	held    []byte // what has been read of it already
 	reader  io.Reader
 	length  int64 // -1: not known
 	read    int64
@@ -372,6 +494,23 @@
 	trailer http.Header
 }
 
+// some reads what is there, or what comes next. A reader of chunks would go on until p is full or
+// a chunk has ended, however slowly that comes.
+func (s *answerSource) some(p []byte) (int, error) {
+	in := s.c.in
+	if s.chunked && in.Buffered() < in.Size() {
+		if _, err := in.Peek(1); err == nil {
+			p = p[:min(len(p), in.Buffered())]
+		}
+	} else if s.chunked {
+		p = p[:min(len(p), chunkStep)] // more has come than is buffered
+	}
+	return s.reader.Read(p)
+}
+
+// chunkStep is how much of a chunk is waited for at most where it comes fast.
+const chunkStep = 16 << 10
+
 // Read reads on, with the pace that the host must keep.
 func (s *answerSource) Read(p []byte) (int, error) {
 	began := time.Now()
@@ -380,7 +519,7 @@
 	} else {
 		s.c.SetReadDeadline(s.due) // the whole answer has its time, and that is near
 	}
-	n, err := s.reader.Read(p)
+	n, err := s.some(p)
 	s.read += int64(n)
 	if slow := s.meter.Moved(n, time.Since(began)); slow != nil && err == nil {
 		err = slow
--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -10,9 +10,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"net/textproto"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,7 +25,7 @@
 
 const (
 	maxBody    = 64 << 10 // of a request, and of an answer that needs no leave
-	maxAnswer  = 1 << 20  // of an answer: some hold 400 KB, whatever the protocol says
+	maxAnswer  = 64 << 20 // of an answer in our protocol: twice what hosts say; beyond it is noise
 	maxHead    = 16 << 10 // of an answer: many times what a host has to say there
 	idleShare  = 0.5      // of the hosts' idle limit that we keep a connection: its end must not cross a request
 	sweepEvery = time.Second
@@ -38,9 +36,10 @@
 	// unheardLeast is how long a host must have answered nothing for its idle connections
 	// to be closed: several times what most answers take.
 	unheardLeast = 250 * time.Millisecond
-	// answerTime is for an answer to come whole once it has begun. Hosts write theirs at
-	// once; a lost segment is sent again after some 200 ms.
-	answerTime = 250 * time.Millisecond
+	// answerGap is how long a host that speaks our protocol may say nothing within the part of
+	// an answer that is held. Most write theirs at once, some in pieces; a lost segment is sent
+	// again after some 200 ms.
+	answerGap = 250 * time.Millisecond
 
 	headNotProcessed = "X-Not-Processed" // "1" proves that the attempt never ran
 )
@@ -116,6 +115,7 @@
 	addr    string
 	started int64
 	reused  bool
+	gap     time.Duration     // that a read may take; 0: any
 	limit   *io.LimitedReader // guards against an answer without end
 	in      *bufio.Reader
 	proto   string            // of the answer read last
@@ -123,6 +123,22 @@
 	idleAt  time.Time
 }
 
+// Read reads from the connection, within the gap if one is set.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.gap > 0 {
+		c.SetReadDeadline(time.Now().Add(c.gap))
+	}
+	return c.Conn.Read(b)
+}
+
+// within sets the gap of the reads that follow; 0: they may take any time.
+func (c *conn) within(gap time.Duration) {
+	if c.gap > 0 && gap == 0 {
+		c.SetReadDeadline(time.Time{})
+	}
+	c.gap = gap
+}
+
 // New returns a Transport.
 func New(o Options) *Transport {
 	if o.Budget == nil {
@@ -300,7 +316,7 @@
 		return nil, err
 	}
 	c.Conn = nc
-	c.limit = &io.LimitedReader{R: nc, N: maxHead}
+	c.limit = &io.LimitedReader{R: c, N: maxHead}
 	c.in = bufio.NewReader(c.limit)
 	c.text = textproto.NewReader(c.in)
 	return c, nil
@@ -366,12 +382,9 @@
 			p.put(c)
 			return engine.Ended(lynxspool.NotSent)
 		}
-		reused, exchange := c.reused, p.exchange
-		if flows(x) {
-			exchange = p.exchangePlain
-		}
-		r := exchange(ctx, c, x)
-		if !r.Answered && r.Outcome == lynxspool.ConnectFailed && reused && ctx.Err() == nil && !(flows(x) && r.Part) {
+		reused := c.reused
+		r := p.exchange(ctx, c, x)
+		if !r.Answered && r.Outcome == lynxspool.ConnectFailed && reused && ctx.Err() == nil && !(plain(x) && r.Part) && !begun(x) {
 			// It closed after the look and before the last byte: nothing ran, and
 			// that tells nothing of the host. Each round uses up one idle connection.
 			continue
@@ -388,137 +401,20 @@
 	return lynxspool.NotSent
 }
 
-// exchange writes the request to the connection and reads its answer. The last byte
-// goes out by the one Write: what fails before that never ran, after it it may have.
-func (p *Transport) exchange(ctx context.Context, c *conn, x *engine.Request) engine.Result {
-	// Giving up an attempt is closing its connection.
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	keep := false
-	defer func() {
-		if stop() && keep {
-			p.put(c)
-		} else {
-			p.drop(c)
-		}
-	}()
-	out := encode(x)
-	if n, err := c.Write(out); n < len(out) || err != nil {
-		switch {
-		case n == len(out):
-			return engine.Ended(lynxspool.Reset)
-		case ctx.Err() != nil:
-			return engine.Ended(unsent(ctx))
-		}
-		return engine.Result{Outcome: lynxspool.ConnectFailed, Part: n > 0}
-	}
-	wrote := time.Now()
-	a, keep, err := c.read(p, x.Method)
-	if err != nil && ctx.Err() != nil {
-		p.unheard(c.host, wrote)
-	}
-	switch {
-	case err == nil:
-		p.mu.Lock()
-		c.host.heard = time.Now()
-		p.mu.Unlock()
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return engine.Ended(lynxspool.TimedOut)
-	case ctx.Err() != nil:
-		return engine.Ended(lynxspool.Canceled)
-	case errors.Is(err, errSpoilt):
-		return engine.Ended(lynxspool.Spoilt)
-	default:
-		return engine.Ended(lynxspool.Reset)
-	}
-	return engine.Result{Answered: true, Answer: a}
-}
-
 var errSpoilt = errors.New("gateway: the answer is spoilt")
 
-// read reads one whole answer and says whether the connection can carry another
-// request. What comes but is no answer that is sure to be whole is errSpoilt, at once
-// where it can be told: it guards clients against being served with what no host made.
-func (c *conn) read(p *Transport, method string) (a engine.Answer, keep bool, err error) {
-	began := false
-	defer func() {
-		// Where the connection ends within an answer the host has gone; where it stays
-		// open and no answer comes of what it brings, that is all there will be.
-		if err != nil {
-			a.Release()
-		}
-		if began && (c.limit.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
-			err = errSpoilt
-		}
-	}()
-	var proto string
-	var status int
-	var header http.Header
-	for {
-		c.limit.N = maxHead
-		first, err := c.in.Peek(1)
-		if err != nil {
-			return a, false, err
-		}
-		began = true
-		c.SetReadDeadline(time.Now().Add(answerTime))
-		// Noise may lack a line's end: it need not be waited for.
-		first, _ = c.in.Peek(min(c.in.Buffered(), len(protoPrefix)))
-		if !strings.HasPrefix(protoPrefix, string(first)) {
-			return a, false, errSpoilt
-		}
-		if proto, status, header, err = c.readHead(); err != nil {
-			return a, false, err
-		}
-		if status == http.StatusSwitchingProtocols {
-			return a, false, errSpoilt // nobody has asked for that
-		}
-		c.SetReadDeadline(time.Time{})
-		if status >= 200 {
-			break
-		}
-		began = false // those below come ahead of the answer, which may take its time
-	}
-	c.SetReadDeadline(time.Now().Add(answerTime))
-	c.limit.N = maxAnswer + maxHead
-	if !bodyless(method, status) {
-		if a.Free, err = p.hold(header); err != nil {
-			return a, false, err
-		}
-		text, err := c.readBody(header)
-		if err != nil {
-			return a, false, err
-		}
-		a.Body = body.Held(text)
-	}
-	c.SetReadDeadline(time.Time{})
-	// What comes behind a whole answer is not part of it: traced, it was a second copy
-	// or noise where the one length fitted, and lengths that did not fit were
-	// contradictory, beyond all bounds or broken chunks. The connection is of no use then.
-	keep = c.in.Buffered() == 0 && proto == "HTTP/1.1" && !strings.Contains(strings.ToLower(header.Get("Connection")), "close")
-	a.Kind, a.Status, a.Header = engine.Served, status, header
-	return a, keep, nil
-}
-
 // bodyless says whether an answer has no body, whatever its headers say (RFC 9112, 6.3).
 func bodyless(method string, status int) bool {
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
-// hold takes leave for an answer that announces more than maxBody. It guards the memory
-// limit; what is returned gives back what was held, nil if that is nothing.
-func (p *Transport) hold(header http.Header) (free func(), err error) {
-	length := header.Get("Content-Length")
-	n, err := strconv.ParseUint(length, 10, 63)
-	switch {
-	case length == "" || err == nil && n <= maxBody:
-		return nil, nil
-	case err != nil || n > maxAnswer:
-		return nil, errSpoilt
-	case p.large.Add(int64(n)) > p.largeMax.Load():
-		p.large.Add(-int64(n))
-		return nil, errSpoilt // for want of room it is of no use to us
+// take takes leave to hold n bytes of answers beyond maxBody. It guards the memory limit.
+func (p *Transport) take(n int64) bool {
+	if p.large.Add(n) > p.largeMax.Load() {
+		p.large.Add(-n)
+		return false
 	}
-	return func() { p.large.Add(-int64(n)) }, nil
+	return true
 }
 
 const protoPrefix = "HTTP/1."
@@ -545,46 +441,6 @@
 	return proto, status, http.Header(fields), err
 }
 
-// readBody reads the body as the headers frame it; two that disagree frame nothing.
-func (c *conn) readBody(header http.Header) ([]byte, error) {
-	lengths, encodings := header["Content-Length"], header["Transfer-Encoding"]
-	switch {
-	case len(lengths)+len(encodings) > 1:
-		return nil, errSpoilt
-	case len(lengths) == 1:
-		n, err := strconv.ParseUint(lengths[0], 10, 63)
-		if err != nil {
-			return nil, errSpoilt
-		}
-		body := make([]byte, n)
-		_, err = io.ReadFull(c.in, body)
-		return body, err
-	case len(encodings) == 1 && strings.EqualFold(encodings[0], "chunked"):
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.in), maxBody+1))
-		var broken net.Error
-		switch {
-		case len(body) > maxBody:
-			return nil, errSpoilt
-		case err == io.ErrUnexpectedEOF || errors.As(err, &broken):
-			return nil, err
-		case err != nil:
-			return nil, errSpoilt // a chunk that is none
-		}
-		if end, err := c.text.ReadLine(); err != nil || end != "" {
-			return nil, cmp.Or(err, errSpoilt)
-		}
-		return body, nil
-	}
-	return nil, errSpoilt // nothing would tell a whole body from a cut one
-}
-
-// encode is the request as it goes to a host, with the time left as of now, and with the part
-// of its body that is held. The path and query are put out just as they came.
-func encode(x *engine.Request) []byte {
-	held := x.Body.Bytes()
-	return append(encodeHead(x, len(held)), held...)
-}
-
 // encodeHead is the head of a request with the time left as of now, and the size of its first
 // chunk where it goes in chunks. There is room for so many bytes more.
 func encodeHead(x *engine.Request, room int) []byte {
