An upload that we give up is not told as its client's doing

Cause: one run of the check in three gave 502 in place of 503 to a client whose host broke off in the middle of its body: the reader of the answer saw the reset first and ended the upload, whose read then failed and was counted as the client's, so the proof that nothing ran was lost. Change: a body that we have taken away tells nothing of the client.

--- a/internal/host/http1/flow.go
+++ b/internal/host/http1/flow.go
@@ -150,7 +150,7 @@
 			return
 		case err != nil:
 			// Half a body is none: the host must not take it for whole.
-			u.err, u.client = err, true
+			u.err, u.client = err, err != body.ErrTaken // that is our own doing
 			u.c.Conn.Close()
 			return
 		}
