FastCGI on both sides: codec, web servers as clients, responders as hosts

Need: some councils run the address look-up behind a FastCGI responder, a few reminder tools can only ask by FastCGI; both are to have what HTTP has: one attempt out, the same limits, one final answer.

--- a/cmd/dunemoorctl/main_test.go
+++ b/cmd/dunemoorctl/main_test.go
@@ -133,7 +133,7 @@
 }
 
 func TestCheck(t *testing.T) {
-	if out, err := ctl("check", example); err != nil || !strings.Contains(out, "1 listeners, 3 classes, 4 pools, 4 routes") {
+	if out, err := ctl("check", example); err != nil || !strings.Contains(out, "2 listeners, 3 classes, 5 pools, 5 routes") {
 		t.Errorf("%v, %s", err, out)
 	}
 	bad := filepath.Join(t.TempDir(), "bad.toml")
--- a/cmd/standin/appliance.go
+++ b/cmd/standin/appliance.go
@@ -16,15 +16,30 @@
 
 // standFor starts a node for each member that an appliance's file lists, and makes classes of
 // requests by its routes. listen becomes the address of the first listener.
-func standFor(path string, seed uint64, b standin.Behaviour, listen *string) (*standin.Fleet, []standin.Class, error) {
+func standFor(path string, seed uint64, b standin.Behaviour, listen, web *string) (*standin.Fleet, []standin.Class, error) {
 	a, wrong := config.LoadAppliance(path)
 	if len(wrong) > 0 {
 		return nil, nil, errors.Join(wrong...)
 	}
-	*listen = a.Listeners[0].Address
+	for _, l := range slices.Backward(a.Listeners) {
+		if l.Protocol == config.FastCGI {
+			*web = l.Address
+		} else {
+			*listen = l.Address
+		}
+	}
 	fleet := standin.NewFleet(standin.NewLedger())
 	for _, p := range a.Pools {
 		for i, m := range p.Members {
+			if p.Protocol == config.FastCGI {
+				r, err := standin.StartResponderAt(m.Address, m.ID, fmt.Sprint(p.Name, m.Cell), fleet.Ledger, seed+uint64(i), b.Work)
+				if err != nil {
+					fleet.Close()
+					return nil, nil, err
+				}
+				fleet.Responders = append(fleet.Responders, r)
+				continue
+			}
 			n, err := standin.StartNodeAt(m.Address, m.ID, fmt.Sprint(p.Name, m.Cell), fleet.Ledger, seed+uint64(i), b)
 			if err != nil {
 				fleet.Close()
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -86,9 +87,10 @@
 	healthy := standin.Behaviour{Work: *work, Cores: *cores, Cold: 3 * time.Second, ColdFrom: 0.4}
 	var fleet *standin.Fleet
 	classes := standin.Classes()
+	web := "" // where web servers ask by FastCGI; "": nowhere
 	var err error
 	if *box != "" {
-		fleet, classes, err = standFor(*box, *seed, healthy, listen)
+		fleet, classes, err = standFor(*box, *seed, healthy, listen, &web)
 	} else {
 		fleet, err = standin.StartFleet(*nodes, *seed, healthy)
 	}
@@ -102,7 +104,7 @@
 	}
 	switch {
 	case *box != "":
-		fmt.Printf("%d nodes are up; start the gateway: bin/dunemoor -appliance %s\n", len(fleet.Nodes), *box)
+		fmt.Printf("%d nodes are up; start the gateway: bin/dunemoor -appliance %s\n", len(fleet.Nodes)+len(fleet.Responders), *box)
 	case *config != "":
 		if err := os.WriteFile(*config, fleet.Config("n0", *listen, classes), 0o600); err != nil {
 			return err
@@ -119,7 +121,22 @@
 		time.AfterFunc(f.at, func() { happen(fleet, f, healthy) })
 	}
 	load := standin.Load{URL: url, Rate: *rate, Count: *count, Classes: classes, Seed: *seed, Retries: 2}
-	if err := load.Run(ctx, fleet.Ledger); err != nil {
+	ends, loads := make(chan error, 2), 1
+	if web != "" {
+		server := &standin.WebServer{Addr: web}
+		defer server.Close()
+		by := load // half of the clients ask through a web server
+		by.Transport, by.Seed = server, *seed+1
+		by.Rate, by.Count = by.Rate/2, max(by.Count/2, 1)
+		load.Rate, load.Count = by.Rate, max(load.Count-by.Count, 1)
+		loads++
+		go func() { ends <- by.Run(ctx, fleet.Ledger) }()
+	}
+	go func() { ends <- load.Run(ctx, fleet.Ledger) }()
+	for range loads {
+		err = cmp.Or(err, <-ends)
+	}
+	if err != nil {
 		return err
 	}
 	c := fleet.Ledger.Count()
--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -62,6 +62,9 @@
 // Pool is the hosts of a service.
 type Pool struct {
 	Name      string
+	Protocol  string
+	Root      string            // of the scripts of a FastCGI pool
+	Params    map[string]string // that a FastCGI pool is told beside ours, or in their place
 	Members   []Member
 	File      string // members are read from it, and again when it changes
 	Discovery string // host:port that tells the members
@@ -125,8 +128,16 @@
 	leastPoolSockets  = 4   // a request out holds one, and hosts change
 )
 
-// protocols that listeners speak.
-var protocols = []string{"http1"}
+// Protocols that listeners and pools speak; the first where none is named.
+const (
+	HTTP1   = "http1"
+	FastCGI = "fastcgi"
+)
+
+var protocols = []string{HTTP1, FastCGI}
+
+// paramsMost is how many parameters of its own a FastCGI pool may have.
+const paramsMost = 100
 
 // applianceFile is the form of the file.
 type applianceFile struct {
@@ -172,6 +183,9 @@
 		Members   []memberFile
 		File      string `toml:"members_file"`
 		Discovery string
+		Protocol  string
+		Root      string `toml:"script_root"`
+		Params    map[string]string
 		Need      float64
 		Fallback  []string
 		Sockets   float64
@@ -389,9 +403,14 @@
 		if !slices.Contains(protocols, l.Protocol) {
 			c.bad("listener", i, "protocol", "%q is none of %s", l.Protocol, strings.Join(protocols, ", "))
 		}
-		if !hostPort(l.Address, 0) {
+		switch {
+		case l.Protocol == FastCGI && unixPath(l.Address):
+		case !hostPort(l.Address, 0):
 			c.bad("listener", i, "address", "%q is no address like \"127.0.0.1:8080\"", l.Address)
 		}
+		if l.Protocol == FastCGI && l.Proxy {
+			c.bad("listener", i, "proxy_protocol", "is for http1 listeners: a web server names its client by REMOTE_ADDR")
+		}
 		c.name("listener", i, l.Name)
 		if l.Name == "" {
 			l.Name = l.Address
@@ -418,6 +437,13 @@
 	}
 }
 
+// unixPath says whether an address names a socket of the file system, of a length that the system
+// takes (unix(7): 108 bytes with the end).
+func unixPath(addr string) bool {
+	path, ok := strings.CutPrefix(addr, "unix:")
+	return ok && strings.HasPrefix(path, "/") && len(path) < 108
+}
+
 // hostPort says whether an address is host:port; port 0 is one for a listener only.
 func hostPort(addr string, least uint64) bool {
 	_, port, err := net.SplitHostPort(addr)
@@ -498,8 +524,10 @@
 	for i, x := range f.Pool {
 		p := Pool{
 			Name: x.Name, File: x.File, Discovery: x.Discovery, Need: x.Need, Fallback: x.Fallback, Sockets: x.Sockets,
-			Cold: Cold{x.ColdFrom, time.Duration(x.WarmAfter)},
+			Cold:     Cold{x.ColdFrom, time.Duration(x.WarmAfter)},
+			Protocol: x.Protocol, Root: x.Root, Params: x.Params,
 		}
+		c.fastCGI(i, &p)
 		c.name("pool", i, x.Name)
 		if first, taken := at[x.Name]; taken {
 			c.bad("pool", i, "name", "%q is taken (line %d)", x.Name, c.Line("pool", first, "name"))
@@ -533,7 +561,7 @@
 			if m.ID == "" {
 				m.ID = m.Address
 			}
-			if !hostPort(m.Address, 1) {
+			if !hostPort(m.Address, 1) && !(p.Protocol == FastCGI && unixPath(m.Address)) {
 				c.bad("pool", i, "members", "%q is no host:port", m.Address)
 			}
 			if ids[m.ID] {
@@ -562,6 +590,43 @@
 	}
 }
 
+// fastCGI checks what a pool has of its own where its hosts are responders.
+func (c *checker) fastCGI(i int, p *Pool) {
+	if p.Protocol == "" {
+		p.Protocol = HTTP1
+	}
+	if !slices.Contains(protocols, p.Protocol) {
+		c.bad("pool", i, "protocol", "%q is none of %s", p.Protocol, strings.Join(protocols, ", "))
+	}
+	if p.Protocol != FastCGI {
+		if p.Root != "" {
+			c.bad("pool", i, "script_root", "is for pools with protocol = %q", FastCGI)
+		}
+		if len(p.Params) > 0 {
+			c.bad("pool", i, "params", "is for pools with protocol = %q", FastCGI)
+		}
+		return
+	}
+	if p.Root != "" && !strings.HasPrefix(p.Root, "/") {
+		c.bad("pool", i, "script_root", "%q is no path from the root", p.Root)
+	}
+	if len(p.Params) > paramsMost {
+		c.bad("pool", i, "params", "%d, %d at most", len(p.Params), paramsMost)
+	}
+	for name, value := range p.Params {
+		switch {
+		case name == "" || len(name) > 127 || strings.ContainsFunc(name, func(r rune) bool {
+			return !(r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_')
+		}):
+			c.bad("pool", i, "params", "%q is no name of a parameter: capitals, digits and '_'", name)
+		case slices.Contains([]string{"CONTENT_LENGTH", "REQUEST_METHOD", "HTTP_PROXY"}, name):
+			c.bad("pool", i, "params", "%q is not to be changed: messages are read by it, or programs are led astray", name)
+		case strings.ContainsRune(value, 0):
+			c.bad("pool", i, "params", "%s: %q can't be sent", name, value)
+		}
+	}
+}
+
 // shares checks that the descriptors for hosts suffice for all pools.
 func (c *checker) shares(a *Appliance) {
 	sum, rest := 0.0, 0
--- a/internal/config/appliance_test.go
+++ b/internal/config/appliance_test.go
@@ -18,7 +18,7 @@
 	if len(wrong) > 0 {
 		t.Fatal(wrong)
 	}
-	if a.Name != "depot-1" || len(a.Pools) != 4 || len(a.Classes) != 3 || a.Classes[1].Effect != lynxspool.Unsafe ||
+	if a.Name != "depot-1" || len(a.Pools) != 5 || len(a.Classes) != 3 || a.Classes[1].Effect != lynxspool.Unsafe ||
 		a.Classes[2].Window != 2500*time.Millisecond || a.Pools[0].Need != route.DefaultNeed || a.Listeners[0].Protocol != "http1" ||
 		a.Pools[3].Members[0].ID != "127.0.0.1:9201" || a.Routes[0].RetryShare != defaultRetryShare || a.Routes[1].RetryShare != 0.1 {
 		t.Errorf("%+v", a)
@@ -147,7 +147,7 @@
 	for _, c := range []struct{ old, new, want string }{
 		{`sockets = 1024`, `sockets = 64`, ""},
 		{`fallback = ["calendar-old"]`, "fallback = [\"calendar-old\"]\nsockets = 0.6", ""},
-		{`fallback = ["calendar-old"]`, "fallback = [\"calendar-old\"]\nsockets = 1.0", "limits.sockets: 1024 are too few: 3 pools would have 0.0 each"},
+		{`fallback = ["calendar-old"]`, "fallback = [\"calendar-old\"]\nsockets = 1.0", "limits.sockets: 1024 are too few: 4 pools would have 0.0 each"},
 	} {
 		_, wrong := ParseAppliance("f", strings.Replace(good, c.old, c.new, 1))
 		if c.want == "" && len(wrong) > 0 || c.want != "" && (len(wrong) != 1 || !strings.Contains(wrong[0].Error(), c.want)) {
--- /dev/null
+++ b/internal/fastcgi/scan.go
@@ -0,0 +1,59 @@
+package fastcgi
+
+// Event is what a Scanner has found.
+type Event uint8
+
+// Events.
+const (
+	More  Event = iota // the bytes are used up
+	Start              // a record's head is whole: Head
+	Part               // a part of its content
+	Done               // the record has ended, its padding included
+)
+
+// Scanner cuts a stream of bytes into records. The zero value is at the start of one.
+type Scanner struct {
+	raw              [HeadLen]byte
+	got              int // of raw
+	head             Head
+	inside           bool
+	content, padding int // still to come
+}
+
+// Head is that of the record under way.
+func (s *Scanner) Head() Head { return s.head }
+
+// Between says whether the stream is at the start of a record.
+func (s *Scanner) Between() bool { return !s.inside && s.got == 0 }
+
+// Next takes what comes next off the front of b. part is that of a Part, and part of b. An error
+// is final.
+func (s *Scanner) Next(b []byte) (ev Event, part, rest []byte, err error) {
+	if !s.inside {
+		n := copy(s.raw[s.got:], b)
+		s.got, b = s.got+n, b[n:]
+		if s.got < HeadLen {
+			return More, nil, b, nil
+		}
+		if s.head, err = ParseHead(s.raw[:]); err != nil {
+			return More, nil, b, err
+		}
+		s.got, s.inside, s.content, s.padding = 0, true, s.head.Content, s.head.Padding
+		return Start, nil, b, nil
+	}
+	if s.content > 0 {
+		if len(b) == 0 {
+			return More, nil, nil, nil
+		}
+		n := min(s.content, len(b))
+		s.content -= n
+		return Part, b[:n], b[n:], nil
+	}
+	n := min(s.padding, len(b))
+	s.padding, b = s.padding-n, b[n:]
+	if s.padding > 0 {
+		return More, nil, b, nil
+	}
+	s.inside = false
+	return Done, nil, b, nil
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -8,7 +8,6 @@
 	"io"
 	"log"
 	"maps"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -278,7 +277,7 @@
 		if errors.As(err, &turned) && r.ContentLength >= 0 && r.ContentLength <= front.MaxHeld {
 			// The connection goes on: a new one would cost more than this answer. net/http
 			// reads what little body there is.
-			w.Header().Set("Retry-After", retryAfter(turned.After, s.plain))
+			w.Header().Set("Retry-After", front.RetryAfter(turned.After, s.plain))
 			fail(w, turned.Error(), turned.Status())
 			if turned.Soon {
 				s.pause(w, r, turned.After)
@@ -330,7 +329,7 @@
 	status := front.Status(err)
 	w.Header().Set("Connection", "close")
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAfter(front.FullRetryAfter, s.plain))
+		w.Header().Set("Retry-After", front.RetryAfter(front.FullRetryAfter, s.plain))
 	}
 	fail(w, err.Error(), status)
 	s.clients.spend(c)
@@ -433,7 +432,7 @@
 		w.Write(a.Body.Bytes()) // if it fails the client has gone
 	case engine.Refused:
 		if after := a.RetryAfter; after > 0 {
-			w.Header().Set("Retry-After", retryAfter(after, x.Route.Plain != nil))
+			w.Header().Set("Retry-After", front.RetryAfter(after, x.Route.Plain != nil))
 		}
 		fail(w, "turned away, trying again is harmless", http.StatusServiceUnavailable)
 	default:
@@ -451,13 +450,3 @@
 	w.WriteHeader(status)
 	io.WriteString(w, text+"\n")
 }
-
-// retryAfter words an advice: in decimals where clients know our protocol, and else in whole
-// seconds, as RFC 9110, 10.2.3 has it.
-func retryAfter(after time.Duration, plain bool) string {
-	s := after.Seconds()
-	if plain {
-		s = math.Ceil(s)
-	}
-	return strconv.FormatFloat(s, 'f', -1, 64)
-}
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -2,10 +2,12 @@
 
 import (
 	"hash/maphash"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -69,6 +71,16 @@
 	return http.StatusTooManyRequests
 }
 
+// RetryAfter words an advice: in decimals where clients know our protocol, and else in whole
+// seconds, as RFC 9110, 10.2.3 has it.
+func RetryAfter(after time.Duration, plain bool) string {
+	s := after.Seconds()
+	if plain {
+		s = math.Ceil(s)
+	}
+	return strconv.FormatFloat(s, 'f', -1, 64)
+}
+
 // clientSeed makes the keys of clients unknown to them.
 var clientSeed = maphash.MakeSeed()
 
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"lynxspool"
@@ -18,7 +21,9 @@
 	"lynxspool/internal/config"
 	"lynxspool/internal/discovery"
 	"lynxspool/internal/engine"
+	fcgi "lynxspool/internal/front/fastcgi"
 	"lynxspool/internal/front/http1"
+	responders "lynxspool/internal/host/fastcgi"
 	hosts "lynxspool/internal/host/http1"
 	"lynxspool/internal/overload"
 	"lynxspool/internal/route"
@@ -44,11 +49,17 @@
 	listeners map[string]net.Listener // by address as the file has it
 }
 
+// transport is what makes the attempts of a pool, whatever its protocol.
+type transport interface {
+	engine.Transport
+	Limit(sockets int, memory int64)
+}
+
 // boxPool is a pool with where its members come from.
 type boxPool struct {
 	*engine.Pool
 	cfg       config.Pool
-	transport *hosts.Transport
+	transport transport
 	ctx       context.Context
 	cancel    context.CancelFunc
 	settings  lynxspool.Settings
@@ -152,15 +163,15 @@
 	}
 	listeners := map[string]net.Listener{}
 	for _, l := range a.Listeners {
-		ln := b.listeners[l.Address]
+		ln := b.listeners[listenerKey(l)]
 		if ln == nil {
 			var err error
-			if ln, err = net.Listen("tcp", l.Address); err != nil {
+			if ln, err = listen(l); err != nil {
 				return undo(fmt.Errorf("listener %s: %w", l.Name, err))
 			}
 			opened = append(opened, ln)
 		}
-		listeners[l.Address] = ln
+		listeners[listenerKey(l)] = ln
 	}
 	classes := classesOf(a)
 	shares := sharesOf(a)
@@ -169,7 +180,7 @@
 	for i, cfg := range a.Pools {
 		set := settings(cfg, classes.list)
 		p := b.pools[cfg.Name]
-		if p == nil || !reflect.DeepEqual(p.settings, set) {
+		if p == nil || !reflect.DeepEqual(p.settings, set) || !sameProtocol(p.cfg, cfg) {
 			var err error
 			if p, err = g.newPool(a, cfg, set, classes.names); err == nil {
 				made = append(made, p)
@@ -216,21 +227,84 @@
 	}
 	g.engine.Use(plan)
 	b.pools, b.file = pools, a
-	for addr, ln := range b.listeners {
-		if listeners[addr] == nil {
+	for key, ln := range b.listeners {
+		if listeners[key] != nil {
+			continue
+		}
+		if strings.HasPrefix(key, fastCGIKey) {
+			g.responder.Leave(ln)
+		} else {
 			g.server.Leave(ln)
 		}
 	}
+	if g.responder == nil && slices.ContainsFunc(a.Listeners, func(l config.Listener) bool { return l.Protocol == config.FastCGI }) {
+		g.startResponder()
+	}
 	for _, l := range a.Listeners {
-		g.server.Tune(listeners[l.Address], http1.ListenOptions{Trusted: l.Trusted, Proxy: l.Proxy})
+		ln := listeners[listenerKey(l)]
+		opened := slices.Contains(opened, ln)
+		if l.Protocol == config.FastCGI {
+			g.responder.Tune(ln, fcgi.ListenOptions{Trusted: l.Trusted})
+			if opened {
+				g.serveBy(g.responder.Serve, ln)
+			}
+			continue
+		}
+		g.server.Tune(ln, http1.ListenOptions{Trusted: l.Trusted, Proxy: l.Proxy})
+		if opened {
+			g.serve(ln)
+		}
 	}
 	b.listeners = listeners
-	for _, ln := range opened {
-		g.serve(ln)
-	}
 	return nil
 }
 
+// fastCGIKey begins the keys of listeners that speak FastCGI: a reload that changes what is spoken
+// at an address opens it anew.
+const fastCGIKey = "fastcgi "
+
+func listenerKey(l config.Listener) string {
+	if l.Protocol == config.FastCGI {
+		return fastCGIKey + l.Address
+	}
+	return l.Address
+}
+
+// listen opens a listener. A socket file whose owner has gone is in nobody's way.
+func listen(l config.Listener) (net.Listener, error) {
+	path, unix := strings.CutPrefix(l.Address, "unix:")
+	if !unix {
+		return net.Listen("tcp", l.Address)
+	}
+	ln, err := net.Listen("unix", path)
+	if !errors.Is(err, syscall.EADDRINUSE) {
+		return ln, err
+	}
+	if c, derr := net.Dial("unix", path); derr == nil {
+		c.Close()
+		return nil, err // somebody listens there
+	}
+	if info, serr := os.Lstat(path); serr != nil || info.Mode().Type() != os.ModeSocket {
+		return nil, err
+	}
+	if err := os.Remove(path); err != nil {
+		return nil, err
+	}
+	return net.Listen("unix", path)
+}
+
+// responderShare is the part of the connections of clients that web servers by FastCGI may have:
+// each carries many requests.
+const responderShare = 4
+
+// startResponder makes the front for FastCGI.
+func (g *Gateway) startResponder() {
+	most, spare := clientParts(g.sockets)
+	g.responder = fcgi.New(g.gate, fcgi.Options{Conns: most / responderShare})
+	g.server.Limit(most-most/responderShare, spare)
+	go g.responder.Drain(g.ctx)
+}
+
 // settings are those of a pool's module.
 func settings(p config.Pool, classes []lynxspool.Class) lynxspool.Settings {
 	return lynxspool.Settings{
@@ -241,7 +315,12 @@
 
 // newPool makes a pool that has no members yet.
 func (g *Gateway) newPool(a *config.Appliance, cfg config.Pool, set lynxspool.Settings, names []string) (*boxPool, error) {
-	p := &boxPool{cfg: cfg, settings: set, transport: hosts.New(hosts.Options{Budget: g.gate.Bodies}), source: func() {}, sink: new(atomic.Pointer[feed])}
+	p := &boxPool{cfg: cfg, settings: set, source: func() {}, sink: new(atomic.Pointer[feed])}
+	if cfg.Protocol == config.FastCGI {
+		p.transport = responders.New(responders.Options{Budget: g.gate.Bodies, Root: cfg.Root, Params: cfg.Params})
+	} else {
+		p.transport = hosts.New(hosts.Options{Budget: g.gate.Bodies})
+	}
 	p.ctx, p.cancel = context.WithCancel(g.ctx)
 	pc := engine.PoolConfig{
 		Name: cfg.Name, Settings: set, Seed: rand.Uint64(), Transport: p.transport,
@@ -264,6 +343,11 @@
 	return p, nil
 }
 
+// sameProtocol says whether two pools speak alike to their hosts.
+func sameProtocol(p, q config.Pool) bool {
+	return p.Protocol == q.Protocol && p.Root == q.Root && reflect.DeepEqual(p.Params, q.Params)
+}
+
 // sameSource says whether two pools have their members from the same place.
 func sameSource(p, q config.Pool) bool {
 	return p.File == q.File && p.Discovery == q.Discovery && reflect.DeepEqual(p.Members, q.Members)
--- a/internal/gateway/appliance_test.go
+++ b/internal/gateway/appliance_test.go
@@ -46,7 +46,7 @@
 	t.Cleanup(g.Close)
 	a := &appliance{Gateway: g}
 	for _, l := range file.Listeners {
-		a.urls = append(a.urls, "http://"+g.box.listeners[l.Address].Addr().String())
+		a.urls = append(a.urls, "http://"+g.box.listeners[listenerKey(l)].Addr().String())
 	}
 	return a
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"lynxspool/internal/discovery"
 	"lynxspool/internal/engine"
 	"lynxspool/internal/front"
+	fcgi "lynxspool/internal/front/fastcgi"
 	"lynxspool/internal/front/http1"
 	hosts "lynxspool/internal/host/http1"
 	"lynxspool/internal/places"
@@ -43,7 +44,9 @@
 	engine *engine.Engine
 	gate   *front.Gate
 	server *http1.Server
-	broken chan error // a listener that ended by itself
+	// responder is the front for web servers that speak FastCGI, nil where none can.
+	responder *fcgi.Server
+	broken    chan error // a listener that ended by itself
 
 	ctx    context.Context // of all that runs
 	cancel context.CancelFunc
@@ -81,9 +84,12 @@
 }
 
 // serve takes requests from ln.
-func (g *Gateway) serve(ln net.Listener) {
+func (g *Gateway) serve(ln net.Listener) { g.serveBy(g.server.Serve, ln) }
+
+// serveBy has a front take requests from ln.
+func (g *Gateway) serveBy(serve func(net.Listener) error, ln net.Listener) {
 	go func() {
-		if err := g.server.Serve(ln); err != nil {
+		if err := serve(ln); err != nil {
 			select {
 			case g.broken <- fmt.Errorf("listen: %s: %w", ln.Addr(), err):
 			default: // another has said so
@@ -104,7 +110,12 @@
 	if g.half != nil {
 		g.half()
 	}
+	var fronts sync.WaitGroup
+	if g.responder != nil {
+		fronts.Go(g.responder.Stop)
+	}
 	g.server.Stop()
+	fronts.Wait()
 	g.cancel()
 	g.engine.Wait(recorded)
 }
@@ -112,6 +123,9 @@
 // Close ends it all at once.
 func (g *Gateway) Close() {
 	g.server.Close()
+	if g.responder != nil {
+		g.responder.Close()
+	}
 	g.cancel()
 	g.engine.Wait(time.Minute)
 }
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -37,6 +37,8 @@
 	Seed    uint64
 	Conns   int // connections kept at most; 0: 64
 	Retries int // tries again after a refusal, when Retry-After says
+
+	Transport http.RoundTripper // nil: HTTP/1.1
 }
 
 // loadMost bounds a load, as a slip must not become a flood.
@@ -55,6 +57,9 @@
 		conns = 64
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: conns, DisableCompression: true}}
+	if l.Transport != nil {
+		client.Transport = l.Transport
+	}
 	defer client.CloseIdleConnections()
 	r := rand.New(rand.NewPCG(l.Seed, 2))
 	total := 0.0
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -9,9 +9,11 @@
 
 // Fleet is some nodes and their discovery, with one ledger.
 type Fleet struct {
-	Ledger    *Ledger
-	Nodes     []*Node
-	Discovery *Discovery
+	Ledger *Ledger
+	Nodes  []*Node
+	// Responders are those of its nodes that speak FastCGI; faults do not happen to them.
+	Responders []*Responder
+	Discovery  *Discovery
 
 	mu       sync.Mutex
 	draining map[string]bool
@@ -66,6 +68,9 @@
 	for _, n := range f.Nodes {
 		n.Crash()
 	}
+	for _, r := range f.Responders {
+		r.Crash()
+	}
 }
 
 // Members is the list as discovery has it.
