--- a/internal/gateway/fastcgi_test.go
+++ b/internal/gateway/fastcgi_test.go
@@ -391,7 +391,7 @@
 		io.Copy(io.Discard, r.Body)
 		io.WriteString(w, "good")
 	})
-	g := startAppliance(t, uploads("", addr, addr, addr)+webListener)
+	g := startAppliance(t, uploads("least_rate = 0\nidle = \"60s\"", addr, addr, addr)+webListener)
 	w := dialWeb(t, g.cgiAddr())
 	w.Write(webRequest(1, fastcgi.KeepConn, webParams("GET", "/slow"), "", true))
 	const long = 16 << 20 // more than all buffers on the way take
