--- a/internal/fastcgi/cgi.go
+++ b/internal/fastcgi/cgi.go
@@ -98,7 +98,7 @@
 // HeaderOf is the header that a parameter stands for, "" for none.
 func HeaderOf(name string) string {
 	rest, ok := strings.CutPrefix(name, "HTTP_")
-	if !ok || rest == "" || rest == "PROXY" || !token([]byte(rest)) || strings.Contains(rest, "-") {
+	if !ok || rest == "" || strings.EqualFold(rest, "PROXY") || !token([]byte(rest)) || strings.Contains(rest, "-") {
 		return ""
 	}
 	return textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(rest, "_", "-"))
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -274,7 +274,7 @@
 			t.Errorf("%s: %q, want %q", header, got, want)
 		}
 	}
-	for name, want := range map[string]string{"HTTP_X_REQUEST_ID": "X-Request-Id", "HTTP_PROXY": "", "HTTP_": "", "CONTENT_TYPE": "", "HTTP_A-B": "", "HTTP_A B": ""} {
+	for name, want := range map[string]string{"HTTP_X_REQUEST_ID": "X-Request-Id", "HTTP_PROXY": "", "HTTP_PROxY": "", "HTTP_": "", "CONTENT_TYPE": "", "HTTP_A-B": "", "HTTP_A B": ""} {
 		if got := HeaderOf(name); got != want {
 			t.Errorf("%s: %q, want %q", name, got, want)
 		}
