Test through the gateway that a booking broken off within a record is sent once

Change: two responders that close within a record: a booking is sent once and its client has one 502, a lookup goes on to the other.

--- a/internal/gateway/fastcgi_test.go
+++ b/internal/gateway/fastcgi_test.go
@@ -566,3 +566,57 @@
 		t.Errorf("a connection that came before the reload: %d", status)
 	}
 }
+
+// A responder closes within a record on a booking: it may have run, so it is sent nowhere else, and
+// its client has one failure at once. A lookup goes on to the other responder.
+func TestFastCGIBookingBrokenOff(t *testing.T) {
+	var runs atomic.Int64
+	var addrs []string
+	for range 2 {
+		ln := testkit.Listen(t, "127.0.0.1:0", nil)
+		defer ln.Close()
+		addrs = append(addrs, ln.Addr().String())
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					var got []byte
+					b := make([]byte, 4096)
+					end := fastcgi.AppendEnd(nil, fastcgi.Stdin, 1)
+					for !strings.HasSuffix(string(got), string(end)) { // each is the first on its connection
+						n, err := c.Read(b)
+						if got = append(got, b[:n]...); err != nil {
+							return // a question what it can, or nothing
+						}
+					}
+					n := runs.Add(1)
+					answer := fastcgi.AppendStream(nil, fastcgi.Stdout, 1, []byte("Status: 200\r\n\r\ngood"))
+					if strings.Contains(string(got), "GET") && n > 2 {
+						c.Write(fastcgi.AppendEndRequest(answer, 1, fastcgi.End{}))
+						return
+					}
+					c.Write(answer[:len(answer)-3])
+				}()
+			}
+		}()
+	}
+	text := head + cgiPool("p", "", addrs...) + routeText("book", "path = \"/book\"\npool = \"p\"\nclass = \"book\"\nretry_share = 3.0\nretry_floor = 100.0") +
+		routeText("look", "pool = \"p\"\nclass = \"lookup\"\nretry_share = 3.0\nretry_floor = 100.0") + webListener
+	g := startAppliance(t, text)
+	if resp, text := fetch(t, "POST", g.urls[0]+"/book", "one booking"); resp.StatusCode != 502 {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("the booking was sent %d times", n)
+	}
+	if resp, text := fetch(t, "GET", g.urls[0]+"/", ""); resp.StatusCode != 200 || text != "good" {
+		t.Errorf("a lookup: %d %q", resp.StatusCode, text)
+	}
+	if n := runs.Load(); n != 3 {
+		t.Errorf("the lookup was sent %d times", n-1)
+	}
+}
