--- a/cmd/dunemoor/upgrade_test.go
+++ b/cmd/dunemoor/upgrade_test.go
@@ -45,6 +45,23 @@
 	return p
 }
 
+// heldSocket is a socket that listens for clients, as the platform holds one, and what processes
+// inherit of it.
+func heldSocket(t *testing.T) (net.Listener, *os.File) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	socket, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { socket.Close() })
+	return ln, socket
+}
+
 // told is a configuration whose discovery names a host at once.
 func told(t *testing.T, addr string) string {
 	list, _ := discoveryAt(t, "s-0", addr)
@@ -73,16 +90,7 @@
 	defer host.Close()
 	addr := strings.TrimPrefix(host.URL, "http://")
 	config := told(t, addr)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	socket, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
+	ln, socket := heldSocket(t)
 	url, tmp := "http://"+ln.Addr().String(), t.TempDir()
 	newOne := func() (*program, string) {
 		admin := freeAddr(t)
@@ -140,16 +148,7 @@
 // guards against serving by an old list while another process serves by the right one, and
 // against a release that hangs on discovery.
 func TestUpgradeWaitsForTheList(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	socket, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
+	_, socket := heldSocket(t)
 	speak := make(chan struct{})
 	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
@@ -191,16 +190,7 @@
 		t.Cleanup(host.Close)
 		return host
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	socket, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
+	ln, socket := heldSocket(t)
 	post := func(path string) string {
 		c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
 		r, _ := http.NewRequest(http.MethodPost, "http://"+ln.Addr().String()+path, strings.NewReader("x"))
