--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"runtime"
 	"runtime/debug"
+	"runtime/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -129,6 +130,11 @@
 		addr = ln.Addr().String()
 		go http.Serve(ln, p)
 	}
+	if file := os.Getenv("DUNEMOOR_BENCH_PROFILE"); file != "" { // where a profile of this kind goes
+		if f, err := os.Create(file + "." + kind); err == nil && pprof.StartCPUProfile(f) == nil {
+			defer pprof.StopCPUProfile()
+		}
+	}
 	fmt.Println(addr)
 	for in := bufio.NewScanner(os.Stdin); in.Scan(); { // a line asks for what was allocated so far
 		var m runtime.MemStats
