Clients' connections by a strict reader of our own, without net/http's server

Need: small requests cost more through the gateway than through ReverseProxy, and a refusal a third of a served request; both were net/http on the clients' side. A client's leaving was not seen behind bytes that nobody had read.

internal/httpwire reads heads and chunks and writes answers: no I/O, strict where readers disagree (bare LF, folded lines, two lengths, spaces in chunk sizes are refused on every route, not on some). front/http1 serves each connection in one goroutine with a buffer only while something is in it, one write for head and body, and deadlines that are set once for many requests. One epoll set sees clients leave. What net/http needed (heads kept beside it, its four traps) is gone. `head_kb` is exact now, its default 12 as before.

--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -118,7 +118,7 @@
 	maxMembers        = 5000
 	defaultTableKB    = 512 // 16,384 clients
 	maxTenants        = 1024
-	defaultHeadKB     = 8        // any head in our protocol several times over, and most browsers' cookies
+	defaultHeadKB     = 12       // any head in our protocol several times over, and most browsers' cookies
 	defaultHeaders    = 100      // browsers send some twenty
 	defaultHold       = 64 << 10 // what the platform's protocol holds of every body
 	holdMost          = 1 << 20  // beyond it a few requests fill what bodies may
--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -1,22 +1,10 @@
 package http1
 
 import (
-	"bufio"
-	"bytes"
 	"container/list"
-	"errors"
-	"net"
 	"net/http"
-	"net/netip"
-	"net/textproto"
-	"runtime"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"github.com/pires/go-proxyproto"
-
-	"lynxspool/internal/front"
 )
 
 // clients keeps the connections of clients within their budget of descriptors. Beyond
@@ -44,176 +32,8 @@
 	connClosed        // closed to make room
 )
 
-// clientConn is a client's connection.
-type clientConn struct {
-	*net.TCPConn
-	use    atomic.Int32
-	served atomic.Bool // it has had an answer
-	plain  bool        // requests may be of plain routes
-	opts   *ListenOptions
-	proxy  *bufio.Reader // where the PROXY header comes first: what is read ahead with it
-	client netip.Addr    // whom that names
-
-	headMu  sync.Mutex
-	head    []byte // of the request that is on, as it came
-	headEnd bool   // it is whole
-	early   byte   // the byte read last behind it, if it came alone
-
-	// clients.mu guards these.
-	in    *list.List
-	place *list.Element
-	since time.Time
-}
-
-type clientKey struct{} // of the connection among a request's context values
-
-// Read marks the connection as taken with the first byte of a further request: it
-// guards against closing it for being idle with a request half read. One that has yet
-// to bring its first can be closed until that is there whole.
-func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.read(b)
-	if c.plain && n > 0 {
-		c.look(b[:n], len(b) == 1)
-	}
-	if n > 0 && c.served.Load() && !c.use.CompareAndSwap(connFree, connTaken) && c.use.Load() == connClosed {
-		return 0, net.ErrClosed
-	}
-	return n, err
-}
-
-// proxyRead is how much is read ahead with a PROXY header: the longest in use fit, with the
-// addresses of version 2 and some of what may follow them.
-const proxyRead = 512
-
-var errProxy = errors.New("http1: a connection from where PROXY headers are not taken")
-
-// read reads from the connection, behind the PROXY header where one must come first. Whoever
-// sends none, or may not, is not heard.
-func (c *clientConn) read(b []byte) (int, error) {
-	if c.opts == nil || !c.opts.Proxy {
-		return c.TCPConn.Read(b)
-	}
-	if c.proxy == nil {
-		if len(c.opts.Trusted) > 0 && !c.opts.trusts(c.addr()) {
-			return 0, errProxy
-		}
-		c.proxy = bufio.NewReaderSize(c.TCPConn, proxyRead)
-		h, err := proxyproto.Read(c.proxy)
-		if err != nil {
-			return 0, err
-		}
-		if a, ok := h.SourceAddr.(*net.TCPAddr); ok && !h.Command.IsLocal() {
-			c.client, _ = netip.AddrFromSlice(a.IP)
-		}
-	}
-	if c.proxy.Buffered() > 0 {
-		return c.proxy.Read(b)
-	}
-	return c.TCPConn.Read(b)
-}
-
-// addr is where the connection itself comes from.
-func (c *clientConn) addr() netip.Addr {
-	if a, ok := c.TCPConn.RemoteAddr().(*net.TCPAddr); ok {
-		return a.AddrPort().Addr().Unmap()
-	}
-	return netip.Addr{}
-}
-
-// peer is who a request on the connection comes from.
-func (c *clientConn) peer() front.Peer {
-	p := front.Peer{Addr: c.addr(), Proto: "http"}
-	if c.client.IsValid() {
-		p.Addr = c.client
-	}
-	p.Trusted = c.opts != nil && c.opts.trusts(p.Addr)
-	return p
-}
-
-// headKept bounds what is kept of a head: net/http refuses longer ones.
-const headKept = 72 << 10
-
-// look keeps the head of a request as it comes, up to its end: net/http drops or settles some
-// of what is there. What is read behind the head is not looked at, until the connection is
-// idle. ahead says that one byte was asked for.
-func (c *clientConn) look(b []byte, ahead bool) {
-	c.headMu.Lock()
-	defer c.headMu.Unlock()
-	if c.headEnd {
-		// net/http reads a byte ahead while it waits for a client to leave: it may be the
-		// first of the next request.
-		if c.early = 0; ahead {
-			c.early = b[0]
-		}
-		return
-	}
-	from := max(0, len(c.head)-3)
-	c.head = append(c.head, b...)
-	if i := bytes.Index(c.head[from:], []byte("\r\n\r\n")); i >= 0 {
-		c.headEnd, c.head = true, c.head[:from+i+4]
-	} else if i := bytes.Index(c.head[from:], []byte("\n\n")); i >= 0 {
-		c.headEnd, c.head = true, c.head[:from+i+2]
-	} else if len(c.head) > headKept {
-		c.headEnd, c.head = true, nil // net/http refuses it
-	}
-}
-
-// again has the next head kept.
-func (c *clientConn) again() {
-	c.headMu.Lock()
-	defer c.headMu.Unlock()
-	c.head, c.headEnd = c.head[:0], false
-	if c.early != 0 {
-		c.head = append(c.head, c.early)
-		c.early = 0
-	}
-}
-
-// rawHead is the head of the request as it came, nil where that is not known: it came with
-// what was before it.
-func (c *clientConn) rawHead() []byte {
-	c.headMu.Lock()
-	defer c.headMu.Unlock()
-	if !c.headEnd {
-		return nil
-	}
-	return c.head
-}
-
-// hostHeader is the Host header in a head, "" where there is not just one.
-func hostHeader(raw []byte) string {
-	in := textproto.NewReader(bufio.NewReader(bytes.NewReader(raw)))
-	if _, err := in.ReadLine(); err != nil {
-		return ""
-	}
-	h, err := in.ReadMIMEHeader()
-	if err != nil || len(h["Host"]) != 1 {
-		return ""
-	}
-	return h["Host"][0]
-}
-
-// clientListener gives out clientConns.
-type clientListener struct {
-	net.Listener
-	plain bool
-	opts  *atomic.Pointer[ListenOptions]
-}
-
-// Accept lets the connections accepted before read what has come first: it guards
-// against taking a client for silent in a burst of connections.
-func (l clientListener) Accept() (net.Conn, error) {
-	runtime.Gosched()
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{TCPConn: c.(*net.TCPConn), plain: l.plain, opts: l.opts.Load()}, nil
-}
-
 // track follows the connections.
-func (s *clients) track(nc net.Conn, state http.ConnState) {
-	c := nc.(*clientConn)
+func (s *clients) track(c *clientConn, state http.ConnState) {
 	var victim *clientConn
 	s.mu.Lock()
 	switch state {
@@ -230,10 +50,6 @@
 		c.use.CompareAndSwap(connFree, connTaken) // if it is closed, serve sees it
 		s.move(c, nil)
 	case http.StateIdle:
-		c.served.Store(true)
-		if c.plain {
-			c.again()
-		}
 		s.move(c, &s.idle)
 		c.use.CompareAndSwap(connTaken, connFree)
 	default:
--- /dev/null
+++ b/internal/front/http1/conn_test.go
@@ -0,0 +1,184 @@
+package http1
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"lynxspool/internal/testkit"
+)
+
+// Requests that come all at once are answered one after the other, in their order.
+func TestPipelined(t *testing.T) {
+	server := testkit.NewHost(t, func(c net.Conn, r *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+		return true
+	})
+	g := startGateway(t, withHosts(server))
+	for _, piece := range []int{1 << 20, 61} { // all at once, and cut anywhere
+		c := g.dial()
+		c.SetDeadline(time.Now().Add(testkit.Patience))
+		var text strings.Builder
+		for i := range 8 {
+			fmt.Fprintf(&text, "POST /api/%d HTTP/1.1\r\nHost: a\r\nX-Priority-Class: book\r\nX-Timeout: 60\r\nX-Request-ID: %s\r\nContent-Length: 4\r\n\r\nbody", i, testkit.NewID())
+		}
+		go func() {
+			for s := text.String(); s != ""; {
+				n := min(piece, len(s))
+				io.WriteString(c, s[:n])
+				s = s[n:]
+			}
+		}()
+		in := bufio.NewReader(c)
+		for i := range 8 {
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := io.ReadAll(resp.Body); string(got) != fmt.Sprint("/api/", i) || err != nil {
+				t.Fatalf("answer %d: %q, %v", i, got, err)
+			}
+		}
+	}
+	server.Mu.Lock()
+	defer server.Mu.Unlock()
+	for i, b := range server.Bodies {
+		if b != "body" {
+			t.Errorf("body %d: %q", i, b)
+		}
+	}
+}
+
+// A client that leaves while it waits is seen, also where there is more that nobody has read yet:
+// it guards against sending on for it, to its deadline a minute later.
+func TestLeavingIsSeenBehindMore(t *testing.T) {
+	server := testkit.NewHost(t, testkit.Hang)
+	g := startGateway(t, withHosts(server))
+	for i, more := range []string{"", "GET ", strings.Repeat("x", 64<<10)} {
+		c := g.dial()
+		io.WriteString(c, testkit.Look(testkit.NewID())+more)
+		testkit.Until(t, "the host has the request", func() bool { n, _, _ := server.Counts(); return n == i+1 })
+		c.Close()
+		testkit.Until(t, "it is given up", func() bool { return g.gate.Open() == 0 })
+		testkit.Until(t, "its connection is closed", func() bool {
+			g.server.clients.mu.Lock()
+			defer g.server.clients.mu.Unlock()
+			return g.server.clients.open == 0 && len(g.server.leavers.all()) == 0
+		})
+	}
+}
+
+// A connection that waits for a request, or for its answer, holds no buffer: thousands cost little.
+func TestIdleConnectionsHoldNothing(t *testing.T) {
+	g := startGateway(t, withHosts(testkit.NewHost(t, testkit.Says(testkit.Good))))
+	var conns []net.Conn
+	for range 4 {
+		c := g.dial()
+		if err := testkit.Asked(c); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	idle := func() (n int) {
+		g.server.clients.mu.Lock()
+		defer g.server.clients.mu.Unlock()
+		for e := g.server.clients.idle.Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*clientConn); c.buf == nil { // its own goroutine waits
+				n++
+			}
+		}
+		return n
+	}
+	testkit.Until(t, "all wait and hold nothing", func() bool { return idle() == len(conns) })
+}
+
+// HTTP/1.0 without a word on the connection ends it with the answer, and with one keeps it. What is
+// our protocol comes in HTTP/1.1, so health is asked here.
+func TestOldClients(t *testing.T) {
+	g := startGateway(t, withHosts(testkit.NewHost(t, testkit.Says(testkit.Good))))
+	for line, keeps := range map[string]bool{"": false, "Connection: keep-alive\r\n": true} {
+		c := g.dial()
+		c.SetDeadline(time.Now().Add(testkit.Patience))
+		in := bufio.NewReader(c)
+		for round := range 2 {
+			io.WriteString(c, "GET /_health HTTP/1.0\r\n"+line+"\r\n")
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				if round == 0 || keeps {
+					t.Errorf("%q, round %d: %v", line, round, err)
+				}
+				break
+			}
+			if text, _ := io.ReadAll(resp.Body); string(text) != "ok\n" || resp.ProtoMinor != 0 || resp.Close == keeps {
+				t.Errorf("%q: %q, %s, close %v", line, text, resp.Proto, resp.Close)
+			}
+		}
+	}
+}
+
+// A client that waits to be asked for its body, and is refused before, ends with the answer: what it
+// sends then may be the body or the next request.
+func TestRefusedBeforeItsBody(t *testing.T) {
+	server := testkit.NewHost(t, testkit.Says(testkit.Good))
+	g := startGateway(t, withHosts(server))
+	c := g.dial()
+	c.SetDeadline(time.Now().Add(testkit.Patience))
+	hidden := testkit.Look(testkit.NewID())
+	fmt.Fprintf(c, "POST /api/1 HTTP/1.1\r\nHost: a\r\nX-Priority-Class: none\r\nX-Timeout: 60\r\nX-Request-ID: %s\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", testkit.NewID(), len(hidden))
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil || resp.StatusCode != 400 || !resp.Close {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	io.WriteString(c, hidden)
+	if rest, err := io.ReadAll(in); err != nil || strings.Contains(string(rest), "HTTP/1.1") {
+		t.Errorf("then it got %q, %v", rest, err)
+	}
+	if n, _, _ := server.Counts(); n != 0 {
+		t.Errorf("the host got %d requests", n)
+	}
+}
+
+// shortListener fails as one does that has no descriptors left.
+type shortListener struct {
+	net.Listener
+	fails atomic.Int32
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.fails.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// A listener that fails for want of descriptors goes on when there are some again.
+func TestAcceptGoesOn(t *testing.T) {
+	g := startGateway(t, withHosts(testkit.NewHost(t, testkit.Says(testkit.Good))))
+	ln := &shortListener{Listener: testkit.Listen(t, "127.0.0.1:0", nil)}
+	ln.fails.Store(3)
+	ended := make(chan error, 1)
+	go func() { ended <- g.server.Serve(ln) }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := testkit.Asked(c); err != nil {
+		t.Fatal(err)
+	}
+	g.server.Leave(ln)
+	if err := <-ended; err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	if err := testkit.Asked(c); err != nil { // who came by it is served on
+		t.Error(err)
+	}
+}
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -1,46 +1,37 @@
 package http1
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"maps"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lynxspool/internal/body"
 	"lynxspool/internal/engine"
 	"lynxspool/internal/front"
+	"lynxspool/internal/httpwire"
 )
 
 // lingerUpload is how long a client is heard that is still sending when its answer is out: a
 // close with bytes unread resets the connection, and the reset may overtake the answer.
 const lingerUpload = 2 * time.Second
 
-// readStreams checks what net/http lets pass, and reads the part of the body that is held. What
-// is more flows.
-func (s *Server) readStreams(c *clientConn, w http.ResponseWriter, r *http.Request, x *front.Entry, raw []byte, asked asked) error {
-	if err := framed(r, raw); err != nil {
-		return err
-	}
+// readStreams reads the part of the body that is held. What is more flows.
+func (s *Server) readStreams(c *clientConn, x *front.Entry) error {
 	plain, streams := x.Route.Plain, x.Route.Streams
-	if plain != nil && plain.Upgrades > 0 && r.ContentLength == 0 {
-		x.Upgrade = asked.upgrade
-	}
-	n := r.ContentLength
-	if n == 0 {
-		return nil
-	}
+	n := c.req.Length
 	// Hosts that speak our protocol do not ask for a body: it is asked for here, by reading it.
-	asks := asked.leave && plain != nil
+	asks := c.req.Expect && plain != nil
 	most := x.HoldMost()
 	source := &clientSource{
-		c: c, r: r, x: x, meter: body.Meter{Pace: streams.Upload}, most: streams.MaxBody,
+		c: c, body: c.body, x: x, meter: body.Meter{Pace: streams.Upload}, most: streams.MaxBody,
 		alarm: body.Alarm{Set: c.SetReadDeadline},
 	}
 	if n > 0 && n <= most && !asks {
@@ -70,80 +61,15 @@
 			return source.bad(err)
 		}
 	}
-	// The answer may begin while the body is still coming. If net/http can't, it will wait.
-	http.NewResponseController(w).EnableFullDuplex()
+	c.flows = source
 	x.Body = body.Flowing(held, body.NewFlow(source, n))
 	return nil
 }
 
-// framed refuses what readers of HTTP disagree on: it guards against one request hidden in
-// another (RFC 9112, 11.2). net/http settles some of it unsaid, so the head is looked at as it
-// came.
-func framed(r *http.Request, raw []byte) error {
-	odd := len(r.TransferEncoding) > 0
-	if !bytes.HasPrefix(raw, []byte(r.Method+" "+r.RequestURI+" "+r.Proto)) {
-		raw = nil // a part of it came with what was before it
-	}
-	if raw == nil {
-		if odd {
-			return front.Bad(http.StatusBadRequest, "the head can't be checked")
-		}
-		return nil
-	}
-	lengths, encodings := 0, 0
-	for rest := raw; len(rest) > 0; {
-		i := bytes.IndexByte(rest, '\n')
-		if i < 0 {
-			break
-		}
-		if i == 0 || rest[i-1] != '\r' {
-			return front.Bad(http.StatusBadRequest, "a line of the head ends without CR")
-		}
-		line := rest[:i-1]
-		rest = rest[i+1:]
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		switch {
-		case len(name) > 0 && (name[0] == ' ' || name[0] == '\t'):
-			return front.Bad(http.StatusBadRequest, "a line of the head goes on with the next")
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			lengths++
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			encodings++
-		}
-	}
-	if lengths+encodings > 1 || encodings > 0 && (!r.ProtoAtLeast(1, 1) || !odd) {
-		return front.Bad(http.StatusBadRequest, "the body is framed in more than one way")
-	}
-	return nil
-}
-
-// asked is what a request asks of the connection.
-type asked struct {
-	leave   bool   // to send its body (Expect: 100-continue)
-	upgrade string // to go over to this protocol; "": it does not
-}
-
-func asksFor(r *http.Request) asked {
-	return asked{strings.EqualFold(r.Header.Get("Expect"), "100-continue"), upgrade(r)}
-}
-
-func upgrade(r *http.Request) string {
-	if v := r.Header["Upgrade"]; len(v) == 1 && r.ProtoAtLeast(1, 1) {
-		for _, c := range r.Header["Connection"] {
-			for name := range strings.SplitSeq(c, ",") {
-				if strings.EqualFold(strings.TrimSpace(name), "upgrade") {
-					return v[0]
-				}
-			}
-		}
-	}
-	return ""
-}
-
 // clientSource is where a request's body flows from.
 type clientSource struct {
 	c     *clientConn
-	r     *http.Request
+	body  *bodyReader
 	x     *front.Entry
 	meter body.Meter
 	alarm body.Alarm
@@ -153,6 +79,9 @@
 	mu     sync.Mutex // guards closed, and the read deadline with it
 	closed bool
 	read   int64
+
+	whole atomic.Bool // the last byte has come
+	gone  func()      // called if the client has left by then, or leaves later
 }
 
 var errTooLong = errors.New("the body is longer than the route takes")
@@ -172,10 +101,12 @@
 	s.busy.Lock()
 	defer s.busy.Unlock()
 	began := time.Now()
-	if !s.arm(began) {
-		return 0, body.ErrTaken
+	if s.body.chunks != nil || s.c.buffered() == 0 { // else nothing is waited for
+		if !s.arm(began) {
+			return 0, body.ErrTaken
+		}
 	}
-	n, err := s.r.Body.Read(p)
+	n, err := s.body.Read(p)
 	s.read += int64(n)
 	if slow := s.meter.Moved(n, time.Since(began)); slow != nil && err == nil {
 		err = slow
@@ -190,12 +121,11 @@
 		}
 		s.mu.Unlock()
 	}
-	if err == io.EOF {
-		s.mu.Lock()
-		s.c.SetReadDeadline(time.Time{}) // left standing it would end the wait for the answer
-		s.mu.Unlock()
-		if !s.x.Body.Whole() {
-			s.x.ArrivedLate(time.Now())
+	if err == io.EOF && !s.x.Body.Whole() {
+		s.x.ArrivedLate(time.Now())
+		s.whole.Store(true)
+		if s.gone != nil && s.c.ctx.Err() != nil {
+			s.gone()
 		}
 	}
 	return n, err
@@ -212,9 +142,9 @@
 }
 
 // Trailer is what came behind the body.
-func (s *clientSource) Trailer() http.Header { return front.Trailer(s.r.Trailer) }
+func (s *clientSource) Trailer() http.Header { return front.Trailer(s.body.Trailer()) }
 
-// Close ends a Read that waits, and returns once none is on: the request is net/http's again.
+// Close ends a Read that waits, and returns once none is on: the connection is its own again.
 func (s *clientSource) Close(whole bool) {
 	s.mu.Lock()
 	s.closed = true
@@ -237,149 +167,151 @@
 	return front.Bad(http.StatusBadRequest, "the body did not arrive, or can't be read")
 }
 
-// serveStreams has a request answered, with what flows either way.
-func (s *Server) serveStreams(w http.ResponseWriter, r *http.Request, c *clientConn, x *front.Entry) {
+// serveStreams has a request answered, with what flows either way, and says whether the connection
+// may go on.
+func (s *Server) serveStreams(c *clientConn, x *front.Entry) bool {
 	if x.Upgrade != "" {
 		if n := x.Route.Plain.Tunnels.Add(1); n > int64(x.Route.Plain.Upgrades) {
 			x.Route.Plain.Tunnels.Add(-1)
-			s.turnAway(w, r, c, front.Bad(http.StatusServiceUnavailable, "too many connections have gone over to another protocol"))
-			return
+			s.turnAway(c, front.Bad(http.StatusServiceUnavailable, "too many connections have gone over to another protocol"))
+			return false
 		}
 		defer x.Route.Plain.Tunnels.Add(-1)
 	}
-	var ahead *informer
 	if x.Route.Plain != nil {
-		ahead = &informer{w: w}
-		x.Inform = ahead.inform
+		x.Inform = c.inform
 	}
-	flow := x.Body.Flow()
-	ctx := r.Context()
+	flow, ctx := x.Body.Flow(), c.ctx
 	if flow != nil {
-		// net/http ends the context of a request also when reading it fails, as where the
-		// client is too slow. Then it is still there, and is told.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(context.WithoutCancel(ctx))
+		// A client that ends its side with its body half sent is still there, and is told.
+		own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		defer cancel()
-		defer context.AfterFunc(r.Context(), func() {
-			if flow.Err() == io.EOF {
+		source := c.flows
+		source.gone = cancel
+		defer context.AfterFunc(ctx, func() {
+			if source.whole.Load() {
 				cancel()
 			}
 		})()
+		ctx = own
 	}
 	a, there := s.gate.Engine.Do(ctx, &x.Request)
-	if ahead != nil {
-		ahead.stop()
-	}
 	defer a.Release()
 	if !there {
-		panic(http.ErrAbortHandler) // net/http would answer 200
+		return false
 	}
 	sending := flow != nil && flow.Err() != io.EOF // the client is
 	if sending || s.stopping.Load() && !a.Body.Whole() || s.leaves() {
-		w.Header().Set("Connection", "close")
+		c.close = true
 	}
 	switch {
 	case a.Tunnel != nil:
-		s.tunnel(w, c, x, &a)
-		return
+		s.tunnel(c, x, &a)
+		return false
 	case flow != nil && a.Kind == engine.Failed && flow.Err() != nil && sending:
 		err := flow.Err()
 		if err == body.ErrTaken {
 			break
 		}
 		err = (&clientSource{most: x.Route.Streams.MaxBody}).bad(err)
-		fail(w, err.Error(), front.Status(err))
-		s.linger(w, r, c, flow)
-		return
+		if c.fail(front.Status(err), err.Error(), "") == nil {
+			s.linger(c, flow)
+		}
+		return false
 	}
 	if a.Body.Whole() {
-		write(w, &x.Request, &a)
-	} else if err := s.pass(ctx, w, c, x, &a); err != nil {
+		if s.write(c, &x.Request, &a) != nil {
+			return false
+		}
+	} else if err := s.pass(ctx, c, x, &a); err != nil {
 		// The client must see that this is not all.
 		if flow != nil {
 			flow.Close()
 		}
 		c.SetLinger(0)
-		panic(http.ErrAbortHandler)
+		return false
 	}
 	if sending {
-		s.linger(w, r, c, flow)
+		s.linger(c, flow)
 	}
+	return !sending
 }
 
-// linger ends a connection whose client is still sending: the answer goes out, then our end,
+// linger ends a connection whose client is still sending: the answer is out, our end follows,
 // and what still comes is read for a while. If a part of this fails the client has gone.
-func (s *Server) linger(w http.ResponseWriter, r *http.Request, c *clientConn, flow *body.Flow) {
+func (s *Server) linger(c *clientConn, flow *body.Flow) {
 	flow.Close()
-	http.NewResponseController(w).Flush()
 	s.clients.spend(c)
 	c.CloseWrite()
 	c.SetReadDeadline(time.Now().Add(lingerUpload))
 	io.Copy(io.Discard, c.TCPConn)
 }
 
+// chunkRoom is left in a buffer ahead of what is read, for the size of the chunk.
+const chunkRoom = 8
+
 // pass passes on an answer as it comes. An error says that it could not be finished.
-func (s *Server) pass(ctx context.Context, w http.ResponseWriter, c *clientConn, x *front.Entry, a *engine.Answer) error {
+func (s *Server) pass(ctx context.Context, c *clientConn, x *front.Entry, a *engine.Answer) error {
 	buf := s.gate.Bodies.Buffer()
 	if buf == nil {
 		a.Release() // the host has done it: no refusal, which would promise that it has not
-		fail(w, "too much is being held, it may have been done", http.StatusBadGateway)
-		return nil
+		return c.fail(http.StatusBadGateway, "too much is being held, it may have been done", "")
 	}
 	defer s.gate.Bodies.Return(buf)
 	flow := a.Body.Flow()
-	h := w.Header()
-	maps.Copy(h, front.EndToEnd(a.Header))
+	h := front.EndToEnd(a.Header)
 	if x.Route.Plain != nil {
 		x.Route.Plain.Answers.Apply(h)
 	}
-	if _, there := h["Content-Type"]; !there {
-		h["Content-Type"] = nil // it is not ours to guess
-	}
-	if n := a.Body.Len(); n >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(n, 10))
-	}
-	control := http.NewResponseController(w)
-	meter, alarm := body.Meter{Pace: x.Route.Streams.Pace}, body.Alarm{Set: c.SetWriteDeadline}
 	if err := flow.Take(); err != nil {
 		return err
 	}
-	w.WriteHeader(a.Status)
-	if held := a.Body.Bytes(); len(held) > 0 {
-		alarm.Within(time.Now(), meter.Wait())
-		if _, err := w.Write(held); err != nil {
-			return err
-		}
-		control.Flush()
-		a.FreeHeld()
-	} else if a.Body.Len() < 0 {
-		control.Flush() // what follows may be long in coming
+	meter, alarm := body.Meter{Pace: x.Route.Streams.Pace}, body.Alarm{Set: c.SetWriteDeadline}
+	defer func() { c.out = body.Alarm{Set: c.out.Set} }() // its deadline stands no more
+	length, chunked := a.Body.Len(), false
+	if length < 0 {
+		length, chunked = inChunks, !c.req.Old
+	}
+	held := a.Body.Bytes()
+	head := c.head(make([]byte, 0, inputSize), time.Now(), a.Status, h, length)
+	if chunked && len(held) > 0 {
+		head = append(strconv.AppendInt(head, int64(len(held)), 16), "\r\n"...)
+	}
+	alarm.Within(time.Now(), meter.Wait())
+	parts := net.Buffers{head, held}
+	if chunked && len(held) > 0 {
+		parts = append(parts, crlf)
+	}
+	if _, err := parts.WriteTo(c.TCPConn); err != nil {
+		return err
 	}
+	a.FreeHeld()
+	b := *buf
 	for {
-		n, err := flow.Read(*buf)
+		n, err := flow.Read(b[chunkRoom : len(b)-len(crlf)])
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if n > 0 {
+			out := b[chunkRoom : chunkRoom+n]
+			if chunked {
+				out = asChunk(b, n)
+			}
 			began := time.Now()
 			alarm.Within(began, meter.Wait())
-			if _, err := w.Write((*buf)[:n]); err != nil {
+			if _, err := c.TCPConn.Write(out); err != nil {
 				return err
 			}
-			if n < len(*buf) {
-				if err := control.Flush(); err != nil {
-					return err
-				}
-			}
 			if err := meter.Moved(n, time.Since(began)); err != nil {
 				return err
 			}
 		}
-		if err == io.EOF {
-			for name, v := range front.Trailer(flow.Trailer()) {
-				h[http.TrailerPrefix+name] = v
-			}
+		if err == io.EOF && chunked {
 			c.SetWriteDeadline(time.Now().Add(writeTimeout))
+			_, err = c.TCPConn.Write(lastChunk(nil, front.Trailer(flow.Trailer())))
+			return err
+		}
+		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
@@ -388,52 +320,33 @@
 	}
 }
 
-// informer passes on answers that come ahead of the final one, until that is written.
-type informer struct {
-	mu sync.Mutex
-	w  http.ResponseWriter
-}
+var crlf = []byte("\r\n")
 
-func (i *informer) inform(status int, header http.Header) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.w == nil {
-		return
-	}
-	h := i.w.Header()
-	maps.Copy(h, front.EndToEnd(header.Clone()))
-	i.w.WriteHeader(status)
-	clear(h) // they are not those of the final answer
-}
-
-func (i *informer) stop() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.w = nil
+// asChunk makes a chunk of the n bytes that stand chunkRoom behind b's start.
+func asChunk(b []byte, n int) []byte {
+	var size [chunkRoom]byte
+	text := append(strconv.AppendInt(size[:0], int64(n), 16), crlf...)
+	at := chunkRoom - len(text)
+	copy(b[at:], text)
+	copy(b[chunkRoom+n:], crlf)
+	return b[at : chunkRoom+n+len(crlf)]
 }
 
 // tunnel passes bytes both ways between a client and a host that have gone over to another
 // protocol, until both have ended, one breaks, or the gateway stops.
-func (s *Server) tunnel(w http.ResponseWriter, c *clientConn, x *front.Entry, a *engine.Answer) {
-	nc, rw, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer nc.Close()
-	nc.SetDeadline(time.Time{})
-	var head bytes.Buffer
-	head.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n")
+func (s *Server) tunnel(c *clientConn, x *front.Entry, a *engine.Answer) {
+	s.clients.track(c, http.StateHijacked)
+	nc := c.TCPConn
 	h := a.Header
 	protocol := h.Get("Upgrade")
 	front.EndToEnd(h)
 	h.Set("Upgrade", protocol)
-	h.Write(&head) // to a Buffer, which takes all
-	head.WriteString("\r\n")
+	head := append(c.beginHead(nil, http.StatusSwitchingProtocols), "Connection: Upgrade\r\n"...)
+	head = append(httpwire.AppendFields(head, h), crlf...)
 	nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := nc.Write(head.Bytes()); err != nil {
+	if _, err := nc.Write(head); err != nil {
 		return
 	}
-	nc.SetWriteDeadline(time.Time{})
 	idle := x.Route.Streams.Pace.Idle
 	touch := func() { // the last byte of either side keeps both
 		until := time.Now().Add(idle)
@@ -484,7 +397,7 @@
 			a.Tunnel.Close()
 		}
 	})
-	both.Go(func() { copyOn(a.Tunnel, rw.Reader, a.Tunnel.CloseWrite) })
+	both.Go(func() { copyOn(a.Tunnel, c, a.Tunnel.CloseWrite) })
 	both.Go(func() { copyOn(nc, a.Tunnel, c.CloseWrite) })
 	both.Wait()
 }
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -6,13 +6,13 @@
 	"context"
 	"errors"
 	"io"
-	"log"
-	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +21,7 @@
 	"lynxspool/internal/drain"
 	"lynxspool/internal/engine"
 	"lynxspool/internal/front"
+	"lynxspool/internal/httpwire"
 )
 
 // Options are what a Server is told.
@@ -30,7 +31,6 @@
 	Longest time.Duration // deadline of any class
 	Plain   bool          // there may be routes for clients that know nothing of our protocol
 	Head    int           // bytes that a request's head may have; 0: maxRequestHead
-	Heads   bool          // heads are kept as they come, to be checked; as where Plain is set
 	Shared  bool          // another process listens on the same sockets: what comes new is its business once we stop
 }
 
@@ -77,23 +77,24 @@
 	// others can be closed: in a crowd many have just come and are yet to be read.
 	silentLeast = 100 * time.Millisecond
 
-	// maxRequestHead holds any head in the protocol's form several times over; net/http
-	// adds 4 KiB. Clients by the hundred may send that much at once.
-	maxRequestHead = 8 << 10
+	// maxRequestHead holds any head in the protocol's form several times over. Clients by the
+	// hundred may send that much at once.
+	maxRequestHead = 12 << 10
 )
 
 // Server is the side of the clients, on any number of listeners.
 type Server struct {
-	gate    *front.Gate
-	plain   bool // there may be plain routes
-	heads   bool // heads are kept as they come
-	shared  bool
-	http    http.Server
-	longest atomic.Int64 // deadline of any class, a time.Duration
-	clients clients
+	gate     *front.Gate
+	plain    bool // there may be plain routes
+	shared   bool
+	headMost int
+	longest  atomic.Int64 // deadline of any class, a time.Duration
+	clients  clients
 
 	mu        sync.Mutex
 	listeners map[net.Listener]*atomic.Pointer[ListenOptions]
+	leavers   *leaving // made by the first Serve
+	closed    bool
 	stopping  atomic.Bool
 	leaving   atomic.Bool // connections end with their answers
 	tunnels   sync.WaitGroup
@@ -102,22 +103,12 @@
 
 // New returns a Server that brings its requests through gate.
 func New(gate *front.Gate, o Options) *Server {
-	s := &Server{gate: gate, plain: o.Plain, heads: o.Heads || o.Plain, shared: o.Shared, listeners: map[net.Listener]*atomic.Pointer[ListenOptions]{}, leave: make(chan struct{})}
+	s := &Server{
+		gate: gate, plain: o.Plain, shared: o.Shared, headMost: cmp.Or(o.Head, maxRequestHead),
+		listeners: map[net.Listener]*atomic.Pointer[ListenOptions]{}, leave: make(chan struct{}),
+	}
 	s.SetLongest(o.Longest)
 	s.Limit(o.Sockets, o.Spare)
-	s.http = http.Server{
-		Handler:        http.HandlerFunc(s.serve), // no ServeMux: it would clean paths and redirect
-		ConnState:      s.clients.track,
-		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, clientKey{}, c) },
-		ReadTimeout:    requestTimeout,
-		WriteTimeout:   o.Longest + writeTimeout,
-		IdleTimeout:    idleTimeout,
-		MaxHeaderBytes: cmp.Or(o.Head, maxRequestHead),
-		// What it would say there are lines about single bad clients.
-		ErrorLog: log.New(io.Discard, "", 0),
-
-		DisableGeneralOptionsHandler: true,
-	}
 	return s
 }
 
@@ -151,23 +142,75 @@
 	s.listeners[ln].Store(&o)
 }
 
-// Serve takes requests from ln, until Stop or Leave has closed it.
+// Serve takes requests from ln, until Stop, Leave or Close has closed it.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
 	opts := s.listeners[ln]
 	if opts == nil {
 		opts = new(atomic.Pointer[ListenOptions])
+		opts.Store(&ListenOptions{})
 		s.listeners[ln] = opts
 	}
-	s.mu.Unlock()
-	err := s.http.Serve(clientListener{ln, s.heads, opts})
-	s.mu.Lock()
-	_, there := s.listeners[ln]
-	s.mu.Unlock()
-	if errors.Is(err, http.ErrServerClosed) || !there && errors.Is(err, net.ErrClosed) {
+	if s.closed {
+		s.mu.Unlock()
+		ln.Close()
 		return nil
 	}
-	return err
+	if s.leavers == nil {
+		l, err := newLeaving()
+		if err != nil {
+			s.mu.Unlock()
+			return err
+		}
+		s.leavers = l
+	}
+	s.mu.Unlock()
+	pause := time.Duration(0)
+	for {
+		// Those accepted before read what has come first: it guards against taking a client for
+		// silent in a burst of connections.
+		runtime.Gosched()
+		nc, err := ln.Accept()
+		if err != nil {
+			s.mu.Lock()
+			_, there := s.listeners[ln]
+			s.mu.Unlock()
+			if !there {
+				return nil
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			// Descriptors may be short, or the client has gone already: the listener stays.
+			pause = min(max(2*pause, acceptPauseLeast), acceptPauseMost)
+			time.Sleep(pause)
+			continue
+		}
+		pause = 0
+		s.accept(nc, opts.Load())
+	}
+}
+
+// How long nothing is accepted when that fails, first and at most.
+const (
+	acceptPauseLeast = 5 * time.Millisecond
+	acceptPauseMost  = time.Second
+)
+
+// accept takes a connection in.
+func (s *Server) accept(nc net.Conn, opts *ListenOptions) {
+	c, err := newClientConn(nc.(*net.TCPConn), opts)
+	if err != nil {
+		nc.Close()
+		return
+	}
+	if err := s.leavers.add(c); err != nil {
+		s.leavers.drop(c)
+		nc.Close()
+		return
+	}
+	s.clients.track(c, http.StateNew)
+	go s.run(c)
 }
 
 // Leave closes a listener. The connections that came by it are served on.
@@ -179,7 +222,24 @@
 }
 
 // Close ends it all at once.
-func (s *Server) Close() { s.http.Close() }
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for ln := range s.listeners {
+		delete(s.listeners, ln)
+		ln.Close() // it can fail only by being closed
+	}
+	l := s.leavers
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	for _, c := range l.all() {
+		c.TCPConn.Close()
+		c.left()
+	}
+	l.close()
+}
 
 // Stop ends service in order: it goes on taking what still comes, closes the listeners
 // when nobody new will come, serves whoever has a connection until shortly before the
@@ -208,10 +268,10 @@
 	}
 	close(s.leave)
 	s.wait(s.clients.inUse, exitAt.Add(-closeTime))
-	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
-	defer cancel()
-	go s.http.Shutdown(ctx) // it looks for the last connection too seldom to be waited for
-	s.wait(s.clients.busy, exitAt)
+	s.wait(func() bool {
+		s.clients.closeUnused()
+		return s.clients.busy()
+	}, exitAt)
 }
 
 // wait returns when what it is given no longer holds, or at the time until.
@@ -257,52 +317,55 @@
 	}
 }
 
-// serve answers one request.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	came := time.Now()
-	c := r.Context().Value(clientKey{}).(*clientConn)
-	if c.use.Load() == connClosed {
-		return // its connection was closed to make room, so nothing may go out for it
-	}
+// serve answers the request whose head has come, and says whether the connection may go on.
+func (s *Server) serve(c *clientConn, came time.Time) bool {
 	if s.leaves() || !s.stopping.Load() && s.clients.crowded() {
-		w.Header().Set("Connection", "close")
+		c.close = true
 	}
-	if r.Method == http.MethodGet && r.URL.Path == pathHealth {
-		s.health(w)
-		return
+	if c.req.Method == http.MethodGet && isHealth(c.req.Target) {
+		return s.health(c) == nil
 	}
-	x, err := s.read(c, w, r, came)
+	x, err := s.read(c, came)
 	if err != nil {
 		var turned *front.Turned
-		if errors.As(err, &turned) && r.ContentLength >= 0 && r.ContentLength <= front.MaxHeld {
-			// The connection goes on: a new one would cost more than this answer. net/http
-			// reads what little body there is.
-			w.Header().Set("Retry-After", front.RetryAfter(turned.After, s.plain))
-			fail(w, turned.Error(), turned.Status())
+		if errors.As(err, &turned) && s.passable(c) {
+			// The connection goes on: a new one would cost more than this answer.
+			if c.fail(turned.Status(), turned.Error(), front.RetryAfter(turned.After, s.plain)) != nil {
+				return false
+			}
 			if turned.Soon {
-				s.pause(w, r, turned.After)
+				s.pause(c, turned.After)
 			}
-			return
+			return true
 		}
-		s.turnAway(w, r, c, err)
-		return
+		s.turnAway(c, err)
+		return false
 	}
 	defer x.End()
 	if x.Route.Streams != nil {
-		s.serveStreams(w, r, c, x)
-		return
+		return s.serveStreams(c, x)
 	}
-	a, there := s.gate.Engine.Do(r.Context(), &x.Request)
+	a, there := s.gate.Engine.Do(c.ctx, &x.Request)
 	if !there {
-		// Nobody waits. net/http would answer 200, which a client that has only ended its own
-		// side would take for what a host said.
-		panic(http.ErrAbortHandler)
+		return false // nobody waits
 	}
+	defer a.Release()
 	if s.leaves() { // by now
-		w.Header().Set("Connection", "close")
+		c.close = true
 	}
-	write(w, &x.Request, &a)
-	a.Release()
+	return s.write(c, &x.Request, &a) == nil
+}
+
+func isHealth(target string) bool {
+	path, _, _ := strings.Cut(target, "?")
+	return path == pathHealth
+}
+
+// passable says whether what is there of a request's body, unread, is so little that reading it
+// costs less than a new connection.
+func (s *Server) passable(c *clientConn) bool {
+	b := c.body
+	return b == nil || b.end == nil && !b.unasked && b.chunks == nil && b.left <= front.MaxHeld
 }
 
 // pauseMost is how long a connection is left unread whose client came back sooner than it was
@@ -310,14 +373,13 @@
 // costs them as little as us.
 const pauseMost = time.Second
 
-// pause has the answer go out and leaves the connection unread for a while.
-func (s *Server) pause(w http.ResponseWriter, r *http.Request, after time.Duration) {
-	http.NewResponseController(w).Flush()
+// pause leaves a connection unread for a while.
+func (s *Server) pause(c *clientConn, after time.Duration) {
 	t := time.NewTimer(min(after, pauseMost))
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-r.Context().Done():
+	case <-c.ctx.Done():
 	case <-s.leave:
 	}
 }
@@ -325,128 +387,115 @@
 // turnAway answers a request that goes to no host. The connection ends with the
 // answer: what comes behind a bad request is not to be trusted, and a body that is
 // not read would be taken for the next one.
-func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, c *clientConn, err error) {
-	status := front.Status(err)
-	w.Header().Set("Connection", "close")
+func (s *Server) turnAway(c *clientConn, err error) {
+	status, after := front.Status(err), ""
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", front.RetryAfter(front.FullRetryAfter, s.plain))
+		after = front.RetryAfter(front.FullRetryAfter, s.plain)
 	}
-	fail(w, err.Error(), status)
-	s.clients.spend(c)
-	if r.ContentLength == 0 {
+	c.close = true
+	if c.fail(status, err.Error(), after) != nil {
 		return
 	}
+	s.clients.spend(c)
 	// A close with bytes unread resets the connection, and the reset may overtake the
-	// answer. So the answer goes out first and then the client is heard a little more.
-	// If a part of this fails the client has gone.
-	http.NewResponseController(w).Flush()
+	// answer. So the client is heard a little more, if there is more to come. If a part of
+	// this fails the client has gone.
+	c.TCPConn.CloseWrite()
 	c.SetReadDeadline(time.Now().Add(drainTime))
-	io.CopyN(io.Discard, r.Body, drainBytes)
+	io.CopyN(io.Discard, c, drainBytes)
 }
 
 // health tells whoever deals out clients whether requests can be served.
-func (s *Server) health(w http.ResponseWriter) {
+func (s *Server) health(c *clientConn) error {
+	status := http.StatusOK
 	ok, text := s.gate.Health()
 	if !ok {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
 	}
-	io.WriteString(w, text)
+	return c.send(status, textPlain, int64(len(text)), []byte(text))
 }
 
+var textPlain = http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+
 // read reads a request, whole but for what flows on a plain route. With no error it is entered.
-func (s *Server) read(c *clientConn, w http.ResponseWriter, r *http.Request, came time.Time) (*front.Entry, error) {
-	m := front.Message{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Length: r.ContentLength,
-		Odd: !r.ProtoAtLeast(1, 1),
-	}
-	if s.plain {
-		m.Peer = c.peer()
-	}
-	raw := c.rawHead()
-	asked := asksFor(r) // before what concerns the connection is taken out
-	if m.Target != "" && m.Target[0] != '/' {
-		m.Named = hostHeader(raw) // r.Host is what the target names
-	}
-	x, err := s.gate.Begin(&m, came)
+func (s *Server) read(c *clientConn, came time.Time) (*front.Entry, error) {
+	r := &c.req
+	x, err := s.gate.Begin(&front.Message{
+		Method: r.Method, Target: r.Target, Host: r.Host, Named: r.Named, Header: r.Header, Length: r.Length, Peer: s.peer(c), Odd: r.Old,
+	}, came)
 	if err != nil {
 		return nil, err
 	}
-	if x.Route.Streams != nil {
-		err = s.readStreams(c, w, r, x, raw, asked)
-	} else if n := r.ContentLength; n > 0 {
-		err = readWhole(r, x, n)
+	if c.body != nil {
+		if x.Route.Streams != nil {
+			err = s.readStreams(c, x)
+		} else {
+			err = readWhole(c, x)
+		}
+		// A request's time counts from its last byte, which may come long after its first; where
+		// it is yet to come, no time has passed.
 		came = time.Now()
 	}
 	if err != nil {
 		x.Drop()
 		return nil, err
 	}
-	if x.Route.Streams != nil && r.ContentLength != 0 {
-		// A request's time counts from its last byte, which may come long after its first; where
-		// it is yet to come, no time has passed.
-		came = time.Now()
-	}
-	if x.Body.Whole() {
-		// The time for reading is over; left standing it would end the wait for the answer.
-		c.SetReadDeadline(time.Time{})
+	if p := x.Route.Plain; p != nil && p.Upgrades > 0 && c.body == nil {
+		x.Upgrade = r.Upgrade
 	}
 	x.Arrived(came)
-	if until := x.Deadline.Add(writeTimeout); until.After(came.Add(s.http.WriteTimeout)) {
-		c.SetWriteDeadline(until) // its class came with a reload
-	}
 	return x, nil
 }
 
-// readWhole reads a body of n bytes.
-func readWhole(r *http.Request, x *front.Entry, n int64) error {
+// peer is who the request comes from, where there are routes that want to know.
+func (s *Server) peer(c *clientConn) front.Peer {
+	if !s.plain {
+		return front.Peer{}
+	}
+	return c.peer
+}
+
+// readWhole reads a body with a length.
+func readWhole(c *clientConn, x *front.Entry) error {
+	n := c.req.Length
 	if err := x.Hold(n); err != nil {
 		return err
 	}
 	text := make([]byte, n)
-	if _, err := io.ReadFull(r.Body, text); err != nil {
-		return front.Bad(http.StatusBadRequest, "the body did not arrive")
+	if int64(c.buffered()) < n {
+		c.SetReadDeadline(time.Now().Add(requestTimeout))
+	}
+	if k, err := io.ReadFull(c.body, text); int64(k) < n {
+		return front.Bad(http.StatusBadRequest, "the body did not arrive: %v", err)
 	}
 	x.Body = body.Held(text)
 	return nil
 }
 
-// write gives a client its answer.
-func write(w http.ResponseWriter, x *engine.Request, a *engine.Answer) {
+// write gives a client an answer that is there whole.
+func (s *Server) write(c *clientConn, x *engine.Request, a *engine.Answer) error {
 	switch a.Kind {
 	case engine.Served:
-		h := w.Header()
-		length := a.Header["Content-Length"]
-		maps.Copy(h, front.EndToEnd(a.Header))
+		said := a.Header["Content-Length"]
+		h := front.EndToEnd(a.Header)
 		if x.Route.Plain != nil {
 			x.Route.Plain.Answers.Apply(h)
 		}
-		if _, there := h["Content-Type"]; !there {
-			h["Content-Type"] = nil // it is not ours to guess
-		}
-		if a.Body.Len() > 0 || x.Method != http.MethodHead && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
-			h.Set("Content-Length", strconv.FormatInt(a.Body.Len(), 10))
-		} else if len(length) == 1 && a.Status != http.StatusNoContent {
-			h["Content-Length"] = length // of what a GET would bring
+		length := int64(noLength)
+		if a.Body.Len() > 0 || !httpwire.Bodyless(x.Method, a.Status) {
+			length = a.Body.Len()
+		} else if len(said) == 1 && a.Status != http.StatusNoContent { // of what a GET would bring
+			if n, err := strconv.ParseInt(said[0], 10, 64); err == nil && n >= 0 {
+				length = n
+			}
 		}
-		w.WriteHeader(a.Status)
-		w.Write(a.Body.Bytes()) // if it fails the client has gone
+		return c.send(a.Status, h, length, a.Body.Bytes())
 	case engine.Refused:
-		if after := a.RetryAfter; after > 0 {
-			w.Header().Set("Retry-After", front.RetryAfter(after, x.Route.Plain != nil))
+		after := ""
+		if a.RetryAfter > 0 {
+			after = front.RetryAfter(a.RetryAfter, x.Route.Plain != nil)
 		}
-		fail(w, "turned away, trying again is harmless", http.StatusServiceUnavailable)
-	default:
-		fail(w, "failed, it may have been done", http.StatusBadGateway)
+		return c.fail(http.StatusServiceUnavailable, "turned away, trying again is harmless", after)
 	}
-}
-
-// fail answers with an error of ours. It has its length, which http.Error takes away: so it is
-// whole as soon as it is out, also where the connection ends before net/http thinks it has.
-func fail(w http.ResponseWriter, text string, status int) {
-	h := w.Header()
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("X-Content-Type-Options", "nosniff")
-	h.Set("Content-Length", strconv.Itoa(len(text)+1))
-	w.WriteHeader(status)
-	io.WriteString(w, text+"\n")
+	return c.fail(http.StatusBadGateway, "failed, it may have been done", "")
 }
--- a/internal/front/http1/source_test.go
+++ b/internal/front/http1/source_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	"lynxspool/internal/body"
+	"lynxspool/internal/front"
 	"lynxspool/internal/testkit"
 )
 
@@ -25,9 +25,12 @@
 		t.Fatal(err)
 	}
 	defer nc.Close()
-	c := &clientConn{TCPConn: nc.(*net.TCPConn)}
+	c, err := newClientConn(nc.(*net.TCPConn), &ListenOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
 	s := &clientSource{
-		c: c, r: &http.Request{Body: c}, meter: body.Meter{Pace: body.Pace{Idle: time.Minute}},
+		c: c, body: &bodyReader{c: c, left: 1}, x: &front.Entry{}, meter: body.Meter{Pace: body.Pace{Idle: time.Minute}},
 		alarm: body.Alarm{Set: c.SetReadDeadline},
 	}
 	flow := body.NewFlow(s, -1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,7 +137,7 @@
 		longest = max(longest, c.Deadline)
 	}
 	shared := cfg.ClientsFD > 0
-	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), http1.Options{Longest: longest, Shared: shared, Heads: true})
+	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), http1.Options{Longest: longest, Shared: shared})
 	transport := hosts.New(hosts.Options{
 		Sockets: int(config.HostSockets(cfg.Sockets)), Memory: int64(largeShare * float64(cfg.Memory())),
 		ConnIdle: cfg.ConnIdle, DialTimeout: cfg.DialTimeout, Budget: g.gate.Bodies,
