Refusals, bytes held and connections are shown at the operators' address

Need: causes of refusals and bytes by cause were counted and nobody could see them (open in limits and in plain HTTP). The appliance had no second address.

GET /admin/status gives them as JSON, read beside the loop from counters; `admin` in an appliance's file opens that address, on loopback only, as nobody who reaches it is asked who they are. Tests: over sockets, through the program, and a mistake in the file.

--- a/cmd/dunemoor/appliance_test.go
+++ b/cmd/dunemoor/appliance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -62,9 +63,18 @@
 			t.Fatal(err)
 		}
 	}
-	write(box(listen, fleets[0], nil))
+	calls := freeAddr(t)
+	write("admin = \"" + calls + "\"\n" + box(listen, fleets[0], nil))
 	p := startAs(t, path, listen, "-appliance", path)
 	p.ready(t)
+	resp, err := http.Get("http://" + calls + "/admin/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 200 {
+		t.Errorf("status: %d", resp.StatusCode)
+	}
 	classes := standin.Classes()
 	for i := range classes {
 		classes[i].Timeout = 20 * time.Second
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -63,9 +63,16 @@
 			return errors.Join(wrong...)
 		}
 		limit(a.Limits.Cores, a.Limits.MemoryMB)
+		calls, err := operators(a.Admin)
+		if err != nil {
+			return err
+		}
 		if g, err = gateway.StartAppliance(a, rc); err != nil {
 			return err
 		}
+		if calls != nil {
+			g.Admin(calls)
+		}
 		slog.Info("serving", "name", a.Name, "listeners", len(a.Listeners), "pools", len(a.Pools), "routes", len(a.Routes))
 	} else {
 		cfg, err := config.LoadPlatform(os.Getenv)
@@ -77,11 +84,9 @@
 		if err != nil {
 			return err
 		}
-		var calls net.Listener
-		if cfg.Admin != "" {
-			if calls, err = net.Listen("tcp", cfg.Admin); err != nil {
-				return fmt.Errorf("admin: %w", err)
-			}
+		calls, err := operators(cfg.Admin)
+		if err != nil {
+			return err
 		}
 		if g, err = gateway.StartPlatform(cfg, rc, ln); err != nil {
 			return err
@@ -96,6 +101,18 @@
 	return run(g, reload, stop, hup, usr1)
 }
 
+// operators opens the socket for operators' calls; nil where there is no address for one.
+func operators(addr string) (net.Listener, error) {
+	if addr == "" {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	return ln, nil
+}
+
 // clients opens the socket where clients connect, or takes over the one that the platform
 // holds for us and other processes. That one outlives us: closing ours ends nothing.
 func clients(cfg *config.Platform) (net.Listener, error) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,8 +4,10 @@
 package admin
 
 import (
+	"cmp"
 	"container/list"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log"
@@ -21,6 +23,7 @@
 	PathHealth  = "/admin/health"
 	PathQuiesce = "/admin/quiesce"
 	PathResume  = "/admin/resume"
+	PathStatus  = "/admin/status"
 )
 
 const (
@@ -40,6 +43,8 @@
 	Ready() (ok bool, text string)
 	Quiesce()
 	Resume()
+	// Status is what is counted, to be written as JSON.
+	Status() any
 }
 
 // Server answers calls.
@@ -82,6 +87,7 @@
 	type call struct {
 		method string
 		do     func() (int, string)
+		kind   string // of the answer; "": lines for people
 	}
 	list := map[string]call{
 		PathHealth: {http.MethodGet, func() (int, string) {
@@ -90,30 +96,38 @@
 				return http.StatusServiceUnavailable, text
 			}
 			return http.StatusOK, text
-		}},
+		}, ""},
 		PathQuiesce: {http.MethodPost, func() (int, string) {
 			to.Quiesce()
 			return http.StatusOK, "draining\n"
-		}},
+		}, ""},
 		PathResume: {http.MethodPost, func() (int, string) {
 			to.Resume()
 			return http.StatusOK, "serving\n"
-		}},
+		}, ""},
+		PathStatus: {http.MethodGet, func() (int, string) {
+			text, err := json.MarshalIndent(to.Status(), "", "  ")
+			if err != nil {
+				return http.StatusInternalServerError, err.Error() + "\n"
+			}
+			return http.StatusOK, string(text) + "\n"
+		}, "application/json"},
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.heard(r.Context().Value(connKey{}).(net.Conn))
 		s.mu.Unlock()
-		status, text := http.StatusNotFound, "no such call\n"
+		status, text, kind := http.StatusNotFound, "no such call\n", ""
 		if c, ok := list[r.URL.Path]; ok {
 			if r.Method == c.method {
 				status, text = c.do()
+				kind = c.kind
 			} else {
 				w.Header().Set("Allow", c.method)
 				status, text = http.StatusMethodNotAllowed, "this call is by "+c.method+"\n"
 			}
 		}
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Header().Set("Content-Type", cmp.Or(kind, "text/plain; charset=utf-8"))
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		w.WriteHeader(status)
 		io.WriteString(w, text) // if it fails the caller has gone
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -21,6 +21,7 @@
 func (t *target) Ready() (bool, string) { return t.ready.Load(), "so\n" }
 func (t *target) Quiesce()              { t.quiesced.Add(1) }
 func (t *target) Resume()               { t.resumed.Add(1) }
+func (t *target) Status() any           { return map[string]int{"open": 7} }
 
 func serve(t *testing.T) (*target, string) {
 	ln := testkit.Listen(t, "127.0.0.1:0", nil)
--- a/internal/body/budget.go
+++ b/internal/body/budget.go
@@ -19,6 +19,9 @@
 
 var causeNames = [...]string{"requests", "answers", "flows"}
 
+// Causes are all of them.
+func Causes() []Cause { return []Cause{Requests, Answers, Flows} }
+
 // String names the cause, for counters.
 func (c Cause) String() string { return causeNames[c] }
 
--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -22,6 +22,7 @@
 // Appliance is the file of a gateway that stands by itself, checked and with its defaults.
 type Appliance struct {
 	Name      string
+	Admin     string // address of the operators' calls; "": none
 	Limits    Limits
 	Tenants   []fair.Tenant
 	Listeners []Listener
@@ -142,6 +143,7 @@
 // applianceFile is the form of the file.
 type applianceFile struct {
 	Name   string
+	Admin  string
 	Limits struct {
 		Cores    float64
 		MemoryMB int `toml:"memory_mb"`
@@ -321,6 +323,7 @@
 		c.bad("", 0, "name", "is missing: what this gateway is called")
 	}
 	c.name("", 0, a.Name)
+	c.admin(a, f.Admin)
 	if a.Limits.MemoryMB == 0 {
 		a.Limits.MemoryMB = DefaultMemoryMB
 	}
@@ -392,6 +395,18 @@
 	}
 }
 
+// admin checks the address of the operators' calls. Whoever reaches it can drain the gateway, and
+// nobody is asked who they are: so it is of this machine.
+func (c *checker) admin(a *Appliance, addr string) {
+	if a.Admin = addr; addr == "" {
+		return
+	}
+	host, _, _ := net.SplitHostPort(addr)
+	if ip, err := netip.ParseAddr(host); !hostPort(addr, 0) || err != nil || !ip.IsLoopback() {
+		c.bad("", 0, "admin", "%q is no loopback address like \"127.0.0.1:8090\"", addr)
+	}
+}
+
 func (c *checker) listeners(a *Appliance, f *applianceFile) {
 	if len(f.Listener) == 0 {
 		c.bad("", 0, "listener", "there is none: clients could not connect")
--- a/internal/config/appliance_test.go
+++ b/internal/config/appliance_test.go
@@ -106,7 +106,7 @@
 		{`deadline = "4s"`, `deadline = 4`}, {`memory_mb = 64`, `memory_mb = "64"`}, {`sockets = 1024`, `sockets = 5`},
 		{`timeout = "2s"`, `timeuot = "2s"`}, {`effect = "unsafe"`, `effect = "unsave"`}, {`worth = 5`, `wort = 5`},
 		{`address = "127.0.0.1:8080"`, `address = "127.0.0.1:99999"`}, {`"127.0.0.1:9201"`, `"127.0.0.1:0"`},
-		{`name = "depot-1"`, `name = "depot\u001b[31m"`},
+		{`name = "depot-1"`, "admin = \"10.0.0.1:8090\"\nname = \"depot\\u001b[31m\""},
 	} {
 		if !strings.Contains(bad, c[0]) {
 			t.Fatalf("the example lacks %q", c[0])
@@ -120,7 +120,7 @@
 	}
 	for _, want := range []string{
 		"class.deadline: ", "limits.memory_mb: ", "limits.sockets: 5 is", "route.timeuot: there is no", `class.effect: "unsave"`,
-		"class.wort: there is no", `listener.address: "127.0.0.1:99999"`, `pool.members: "127.0.0.1:0"`, `name: "depot\x1b[31m" has '\x1b' in it`,
+		"class.wort: there is no", `listener.address: "127.0.0.1:99999"`, `pool.members: "127.0.0.1:0"`, `name: "depot\x1b[31m" has '\x1b' in it`, `admin: "10.0.0.1:8090" is no loopback`,
 	} {
 		n := 0
 		for _, s := range all {
@@ -132,8 +132,8 @@
 			t.Errorf("%q is said %d times in\n%s", want, n, strings.Join(all, "\n"))
 		}
 	}
-	if len(all) != 9 {
-		t.Errorf("%d mistakes of 9:\n%s", len(all), strings.Join(all, "\n"))
+	if len(all) != 10 {
+		t.Errorf("%d mistakes of 10:\n%s", len(all), strings.Join(all, "\n"))
 	}
 }
 
--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -159,6 +159,23 @@
 // crowd says whether the budget is nearly used up; mu is held.
 func (s *clients) crowd() bool { return s.open*100 > s.budget*crowdedShare }
 
+// Counts are the connections of clients by what they are of use for.
+type Counts struct {
+	Open   int `json:"open"`   // all but those that have gone over to another protocol
+	Silent int `json:"silent"` // with no request yet
+	Idle   int `json:"idle"`   // between two requests
+	Spent  int `json:"spent"`  // answered for the last time
+	Budget int `json:"budget"` // beyond which room is made
+}
+
+// Counts are the connections as they are now.
+func (s *Server) Counts() Counts {
+	c := &s.clients
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Counts{c.open, c.silent.Len(), c.idle.Len(), c.spent.Len(), c.budget}
+}
+
 // inUse says whether a client has a connection to ask on, or may yet bring a request.
 func (s *clients) inUse() bool {
 	if s.busy() {
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -47,6 +47,11 @@
 // String names the cause, for counters.
 func (r Refusal) String() string { return refusalNames[r] }
 
+// Refusals are the causes.
+func Refusals() []Refusal {
+	return []Refusal{ByOverload, ByRate, ByConcurrent, ByRepeats, ByTenant}
+}
+
 // Refused is how many requests were turned away for a cause.
 func (l *Limits) Refused(r Refusal) int64 { return l.counts[r].Load() }
 
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -110,7 +110,7 @@
 		return err
 	}
 	if len(late) > 0 {
-		slog.Warn("limits changed in the file are used from the next start on", "settings", strings.Join(late, ", "))
+		slog.Warn("settings changed in the file are used from the next start on", "settings", strings.Join(late, ", "))
 	}
 	return nil
 }
@@ -122,7 +122,7 @@
 		name    string
 		changed bool
 	}{
-		{"limits.cores", was.Cores != now.Cores}, {"limits.memory_mb", was.MemoryMB != now.MemoryMB},
+		{"admin", g.box.file.Admin != a.Admin}, {"limits.cores", was.Cores != now.Cores}, {"limits.memory_mb", was.MemoryMB != now.MemoryMB},
 		{"limits.sockets", was.Sockets != now.Sockets}, {"limits.head_kb", was.HeadKB != now.HeadKB},
 		{"limits.headers", was.Headers != now.Headers}, {"limits.overload", was.NoOverload != now.NoOverload},
 		// The client's limits are used at once, where there is a table to keep them in.
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"lynxspool/internal/body"
+	"lynxspool/internal/front"
+	"lynxspool/internal/front/http1"
+)
+
+// Status is what a gateway counts, for operators. All of it is read beside the loop, which is
+// never asked and never waited for.
+type Status struct {
+	State    string           `json:"state"`    // serving, or how far a drain has gone
+	Ready    bool             `json:"ready"`    // as health has it
+	Detail   string           `json:"detail"`   // what health says
+	IDs      int              `json:"ids"`      // of our protocol that are in use by open requests
+	Pressure float64          `json:"pressure"` // ranks of classes that are shed; 0: none
+	Clients  http1.Counts     `json:"clients"`
+	Bodies   map[string]Bytes `json:"bodies"`  // by what memory is taken for
+	Refused  map[string]int64 `json:"refused"` // at the gate since the start, by cause
+}
+
+// Bytes are how many are taken, and how many may be.
+type Bytes struct {
+	Used int64 `json:"used"`
+	Most int64 `json:"most"`
+}
+
+// Status is what the gateway counts now.
+func (g *Gateway) Status() any {
+	state, _ := g.gate.Draining()
+	s := Status{
+		State: state.String(), IDs: g.gate.Open(), Clients: g.server.Counts(),
+		Bodies: map[string]Bytes{}, Refused: map[string]int64{},
+	}
+	s.Ready, s.Detail = g.gate.Health()
+	for _, c := range body.Causes() {
+		used, most := g.gate.Bodies.Used(c)
+		s.Bodies[c.String()] = Bytes{used, most}
+	}
+	if l := g.gate.Limits; l != nil {
+		for _, why := range front.Refusals() {
+			s.Refused[why.String()] = l.Refused(why)
+		}
+		if l.Overload != nil {
+			s.Pressure = l.Overload.Pressure()
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/gateway/status_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lynxspool/internal/testkit"
+)
+
+// What is turned away and what is held is told, by cause, over the second address.
+func TestStatus(t *testing.T) {
+	host := testkit.NewHost(t, testkit.Says(testkit.Good))
+	g := startAppliance(t, strings.Replace(head, "[[listener]]", "[limits.client]\nrate = 0.001\nburst = 3.0\n[[listener]]", 1)+
+		poolText("p", "", host.Addr())+routeText("r", "pool = \"p\"\nclass = \"lookup\"\nmax_body = \"1MiB\""))
+	ln := testkit.Listen(t, "127.0.0.1:0", nil)
+	g.Admin(ln)
+	status := func() (s Status) {
+		t.Helper()
+		resp, text := fetch(t, "GET", "http://"+ln.Addr().String()+"/admin/status", "")
+		if err := json.Unmarshal([]byte(text), &s); err != nil || resp.Header.Get("Content-Type") != "application/json" {
+			t.Fatalf("%s: %v", text, err)
+		}
+		return s
+	}
+	if s := status(); !s.Ready || s.State != "serving" || s.Bodies["requests"].Used != 0 || s.Refused["client rate"] != 0 || s.Clients.Open != 0 {
+		t.Errorf("at rest: %+v", s)
+	}
+	const most = 60 << 10
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.urls[0], "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\nhalf", most)
+	testkit.Until(t, "a body is held", func() bool { s := status(); return s.Bodies["requests"].Used == most && s.Clients.Open == 1 })
+	io.WriteString(c, strings.Repeat("x", most-len("half")))
+	testkit.Until(t, "it is given back", func() bool { s := status(); return s.Bodies["requests"].Used == 0 && s.Clients.Idle == 1 })
+	for range 4 {
+		fetch(t, "GET", g.urls[0]+"/", "")
+	}
+	if s := status(); s.Refused["client rate"] != 2 || s.Refused["overload"] != 0 || len(s.Bodies) != 3 || s.Bodies["flows"].Most == 0 {
+		t.Errorf("after two refusals: %+v", s)
+	}
+	g.Quiesce()
+	if s := status(); s.Ready || s.State == "serving" {
+		t.Errorf("draining: %+v", s)
+	}
+	resp, err := http.Post("http://"+ln.Addr().String()+"/admin/status", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusMethodNotAllowed {
+		t.Errorf("POST: %d", resp.StatusCode)
+	}
+}
