A model of the fleet in virtual time, with the real decision module in each gateway

internal/model, no I/O, seeded: hosts with cores, slots, queues, connection limits, crowding, cold starts; a network; lists that come late; clients that ask again with back-off, jitter and advice; bursts; eight kinds of trouble, of hosts and gateways. A stream of chance for each purpose and thing. The four rules are looked at with every event.

--- /dev/null
+++ b/internal/model/gateway.go
@@ -0,0 +1,326 @@
+package model
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lynxspool"
+)
+
+// start has a gateway begin with the list as it is.
+func (w *world) start(g *gateway, how lynxspool.ListKind) error {
+	set := w.cfg.Settings
+	set.Rank = g.id
+	bal, err := lynxspool.New(set, w.cfg.Seed<<16+uint64(g.id)<<4+uint64(g.life))
+	if err != nil {
+		return err
+	}
+	g.bal, g.up = bal, true
+	g.idle, g.open = map[int]idleSet{}, map[lynxspool.RequestID]*request{}
+	list := make([]lynxspool.Host, 0, len(w.hosts))
+	for _, h := range w.hosts {
+		if h.state != lynxspool.Removed {
+			list = append(list, w.entry(h))
+		}
+	}
+	w.tell(g, func() {
+		bal.Start(w.now)
+		bal.Hosts(w.now, how, list)
+	})
+	return nil
+}
+
+func (w *world) entry(h *host) lynxspool.Host {
+	return lynxspool.Host{ID: lynxspool.HostID(h.id + 1), Zone: h.Zone, Cell: h.id, State: h.state, Started: h.started}
+}
+
+// tell tells a gateway's module of an event and carries out what it decides.
+func (w *world) tell(g *gateway, what func()) {
+	what()
+	w.acts = g.bal.Drain(w.acts[:0])
+	for _, a := range w.acts {
+		switch a.Kind {
+		case lynxspool.Send:
+			w.send(g, &a)
+		case lynxspool.Cancel:
+			if r := g.open[a.Request]; r != nil && !r.attempts[a.Attempt].ended && !r.attempts[a.Attempt].called {
+				r.attempts[a.Attempt].called = true
+				w.queue.push(answerAt(w.now, lynxspool.Canceled, uint64(a.Attempt), r))
+			}
+		case lynxspool.Refuse:
+			if r := g.open[a.Request]; r != nil {
+				w.final(r, outcomeRefused, a.After)
+				w.forget(r)
+			}
+		case lynxspool.Fail:
+			if r := g.open[a.Request]; r != nil {
+				w.final(r, outcomeFailed, 0)
+				w.forget(r)
+			}
+		case lynxspool.Wake:
+			w.queue.push(event{at: max(a.At, w.now), kind: evTimer, a: int32(g.id), n: uint64(g.life)<<timerBits | a.Token&(1<<timerBits-1)})
+		case lynxspool.Close:
+			delete(g.idle, int(a.Host)-1)
+		}
+	}
+}
+
+// answerAt is the end of an attempt that comes to its gateway.
+func answerAt(at lynxspool.Time, result lynxspool.Result, n uint64, r *request) event {
+	return event{at: at, kind: evAnswer, a: int32(result), n: n, r: r}
+}
+
+// send starts an attempt.
+func (w *world) send(g *gateway, a *lynxspool.Action) {
+	r := g.open[a.Request]
+	h := w.hosts[int(a.Host)-1]
+	if r == nil || r.over {
+		w.broke(RuleLost, "request %d is sent on when it is over", a.Request)
+		return
+	}
+	for i := range r.attempts {
+		if !r.attempts[i].ended && !r.attempts[i].called {
+			w.broke(RuleTwice, "request %d has two attempts out", r.id)
+		}
+	}
+	if most := w.cfg.Settings.MaxAttempts; most > 0 && len(r.attempts) >= most {
+		w.broke(RuleTwice, "request %d has %d attempts, %d are allowed", r.id, len(r.attempts)+1, most)
+	}
+	if h.told != nil && h.told[g.id] > 0 && w.now > h.told[g.id]+drainGrace {
+		w.broke(RuleDrain, "gateway %d sends to host %d %v after it was told not to", g.id, h.id, w.now-h.told[g.id])
+	}
+	w.sentCold(h, r)
+	n := len(r.attempts)
+	r.attempts = append(r.attempts, attempt{host: h, sent: w.now})
+	w.sum.Attempts++
+	t := &r.attempts[n]
+	until := r.until
+	if a.At > 0 {
+		until = min(until, a.At)
+	}
+	w.queue.push(event{at: until, kind: evUntil, n: uint64(n), r: r})
+	way := w.delay(g)
+	if set := g.idle[h.id]; set.n > 0 && set.life == h.life {
+		set.n--
+		g.idle[h.id] = set
+		if h.silent {
+			r.ran++ // for all that anybody knows: nothing ever comes back
+			return
+		}
+		w.queue.push(event{at: w.now + way, kind: evReach, n: uint64(n), r: r})
+		return
+	}
+	t.fresh = true
+	switch {
+	case h.silent:
+		w.queue.push(answerAt(w.now+w.cfg.Net.Connect, lynxspool.ConnectFailed, uint64(n), r))
+	case !h.up, h.Conns > 0 && h.conns >= h.Conns:
+		w.queue.push(answerAt(w.now+2*way, lynxspool.ConnectFailed, uint64(n), r))
+	default:
+		h.conns++
+		w.sum.Conns++
+		w.queue.push(event{at: w.now + 3*way, kind: evReach, n: uint64(n), r: r})
+	}
+}
+
+// delay is one way through the network of a gateway.
+func (w *world) delay(g *gateway) time.Duration {
+	d := w.cfg.Net.Delay
+	if w.cfg.Net.Spread > 0 {
+		d += time.Duration(float64(d) * w.cfg.Net.Spread * g.rng.ExpFloat64())
+	}
+	return d
+}
+
+// reach is an attempt that comes to its host.
+func (w *world) reach(r *request, n int) {
+	a := &r.attempts[n]
+	h := a.host
+	switch {
+	case a.called && !a.ended:
+		return // called off on its way
+	case h.silent:
+		r.ran++ // nobody can tell
+	case !h.up:
+		// It had connected, or kept a connection from before: the end may have come behind its
+		// last byte.
+		w.queue.push(answerAt(w.now+w.delay(r.gateway), lynxspool.Reset, uint64(n), r))
+	default:
+		w.take(h, r, n)
+	}
+}
+
+// answer is the end of an attempt that comes to its gateway.
+func (w *world) answer(r *request, n int, result lynxspool.Result) {
+	if a := &r.attempts[n]; !a.ended && r.gateway.up && r.gateway.life == r.life {
+		w.ended(r, n, result)
+	}
+}
+
+// ended tells the module of an attempt's end, once.
+func (w *world) ended(r *request, n int, result lynxspool.Result) {
+	g, a := r.gateway, &r.attempts[n]
+	a.ended = true
+	h := a.host
+	switch result {
+	case lynxspool.OK, lynxspool.Failed, lynxspool.Full:
+		if a.life == h.life && h.up {
+			set := g.idle[h.id]
+			if set.life != h.life {
+				set = idleSet{life: h.life}
+			}
+			set.n++
+			g.idle[h.id] = set
+		}
+	case lynxspool.TimedOut, lynxspool.Canceled:
+		if h.conns > 0 && h.up { // its connection is closed
+			h.conns--
+		}
+	}
+	if result == lynxspool.OK && !r.over {
+		w.final(r, outcomeServed, 0)
+	}
+	w.tell(g, func() {
+		g.bal.Outcome(w.now, lynxspool.Outcome{Request: r.id, Attempt: n, Result: result, Elapsed: w.now - a.sent, Closed: r.over})
+	})
+	w.forget(r)
+}
+
+// forget lets go of a request that is over and has nothing out.
+func (w *world) forget(r *request) {
+	if !r.over {
+		return
+	}
+	for i := range r.attempts {
+		if !r.attempts[i].ended {
+			return
+		}
+	}
+	delete(r.gateway.open, r.id)
+}
+
+// trouble begins or ends something that goes wrong.
+func (w *world) trouble(i int, begins bool) {
+	t := &w.cfg.Troubles[i]
+	if w.hit == nil {
+		w.hit = make([][]int, len(w.cfg.Troubles))
+	}
+	all := len(w.hosts)
+	if t.Kind == Gateway {
+		all = len(w.gateways)
+	}
+	if begins {
+		w.hit[i] = stream(w.cfg.Seed, "trouble", i).Perm(all)[:max(1, int(t.Part*float64(all)+0.5))]
+	}
+	for _, k := range w.hit[i] {
+		if t.Kind == Gateway {
+			w.kill(w.gateways[k], begins)
+			continue
+		}
+		h := w.hosts[k]
+		w.advance(h)
+		switch t.Kind {
+		case Crash:
+			if begins {
+				w.end(h, true)
+				w.list(h, lynxspool.Removed, w.cfg.Lists.Silent)
+			} else {
+				w.begin(h)
+				w.list(h, lynxspool.Ready, w.cfg.Lists.Delay)
+			}
+		case Vanish:
+			if h.silent = begins; begins {
+				w.end(h, false)
+				w.list(h, lynxspool.Removed, w.cfg.Lists.Silent)
+			} else {
+				w.begin(h)
+				w.list(h, lynxspool.Ready, w.cfg.Lists.Delay)
+			}
+		case Drain:
+			if begins {
+				w.list(h, lynxspool.Draining, w.cfg.Lists.Delay)
+			} else {
+				w.end(h, true)
+				w.begin(h)
+				w.list(h, lynxspool.Ready, w.cfg.Lists.Delay)
+			}
+		case Hang:
+			h.hung = begins
+		case Unheard:
+			h.unheard = begins
+		case Slow:
+			if h.slow = 1; begins {
+				h.slow = t.Size
+			}
+		case Errors:
+			if h.errors = 0; begins {
+				h.errors = t.Size
+			}
+		}
+		w.settle(h)
+	}
+}
+
+// list has every gateway hear of a host, each in its time.
+func (w *world) list(h *host, state lynxspool.HostState, delay time.Duration) {
+	h.state = state
+	for i := range w.gateways {
+		at := w.now + delay
+		if w.cfg.Lists.Spread > 0 {
+			at += time.Duration(w.lists.Float64() * float64(w.cfg.Lists.Spread))
+		}
+		w.queue.push(event{at: at, kind: evList, a: int32(i), n: uint64(h.id)})
+	}
+}
+
+// hear tells a gateway how a host is by now.
+func (w *world) hear(g *gateway, h *host) {
+	if h.told == nil {
+		h.told = make([]lynxspool.Time, len(w.gateways))
+	}
+	if h.state == lynxspool.Ready {
+		h.told[g.id] = 0
+	} else if h.told[g.id] == 0 {
+		h.told[g.id] = max(w.now, 1)
+	}
+	if g.up {
+		w.tell(g, func() { g.bal.Hosts(w.now, lynxspool.ListChanges, []lynxspool.Host{w.entry(h)}) })
+	}
+}
+
+// kill ends a gateway, or starts it again with the list as it has it saved.
+func (w *world) kill(g *gateway, begins bool) {
+	if !begins {
+		if err := w.start(g, lynxspool.ListSaved); err != nil {
+			panic(err) // its settings were right before
+		}
+		return
+	}
+	g.up, g.since = false, w.now
+	g.life++
+	for id, set := range g.idle {
+		if h := w.hosts[id]; set.life == h.life {
+			h.conns -= set.n
+		}
+	}
+	open := g.open
+	g.open = nil
+	for _, r := range inOrder(open) {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.ended && a.host.conns > 0 {
+				a.host.conns--
+			}
+		}
+		if !r.over {
+			r.over = true
+			w.retry(r, outcomeLeft, 0)
+		}
+	}
+}
+
+// inOrder are requests by their ids: a run must not depend on the order of a map.
+func inOrder(open map[lynxspool.RequestID]*request) []*request {
+	return slices.SortedFunc(maps.Values(open), func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+}
--- /dev/null
+++ b/internal/model/world.go
@@ -0,0 +1,444 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lynxspool"
+)
+
+type kind uint8
+
+const (
+	evArrive  kind = iota // a client of class a asks for the first time
+	evAgain               // it asks again
+	evReach               // attempt n of r comes to its host
+	evAnswer              // the end a of attempt n of r comes to its gateway
+	evUntil               // attempt n of r is given up
+	evLeave               // the client of r waits no longer
+	evTimer               // gateway a, token n
+	evDone                // a host is done with something
+	evWarm                // a host is a little warmer
+	evTrouble             // trouble a begins (n 1) or ends (n 0)
+	evList                // gateway a hears of a host (n)
+)
+
+// Rule is one of the four rules.
+type Rule int
+
+// Rules.
+const (
+	RuleLost  Rule = iota // one final answer while the client waits, and nothing goes out after it
+	RuleTwice             // no effect twice; one attempt out at a time, and no more than are allowed
+	RuleDrain             // nothing new 500 ms after the gateway was told
+	RuleCold              // a cold host is not pushed over
+	rules
+)
+
+var ruleNames = [...]string{"a request lost", "an effect twice", "a drain broken", "a cold host pushed over"}
+
+// String names what is broken.
+func (r Rule) String() string { return ruleNames[r] }
+
+// drainGrace is how long a gateway may go on sending once it was told.
+const drainGrace = 500 * time.Millisecond
+
+// answerSlack is by how much later than its client's time an answer may come.
+const answerSlack = 50 * time.Millisecond
+
+type attempt struct {
+	host   *host
+	sent   lynxspool.Time
+	ended  bool
+	called bool // off
+	fresh  bool // on a new connection
+	life   uint32
+}
+
+// request is one try of a client.
+type request struct {
+	id       lynxspool.RequestID
+	class    int
+	client   uint64
+	try      int
+	first    lynxspool.Time // when the client first asked
+	at       lynxspool.Time
+	until    lynxspool.Time
+	work     float64
+	gateway  *gateway
+	life     uint32 // of the gateway that it was taken by
+	over     bool
+	answers  int
+	attempts []attempt
+	ran      int
+	ranAt    lynxspool.Time
+	ranBy    *host
+}
+
+type gateway struct {
+	id    int
+	life  uint32
+	up    bool
+	since lynxspool.Time // down since
+	bal   *lynxspool.Balancer
+	rng   *rand.Rand      // network
+	idle  map[int]idleSet // connections by host
+	open  map[lynxspool.RequestID]*request
+}
+
+type idleSet struct {
+	life uint32
+	n    int
+}
+
+// world is a run.
+type world struct {
+	cfg      Config
+	now      lynxspool.Time
+	queue    queue
+	hosts    []*host
+	gateways []*gateway
+	arrive   []*rand.Rand // by class
+	works    []*rand.Rand
+	front    *rand.Rand
+	clients  *rand.Rand
+	lists    *rand.Rand
+	hit      [][]int // by trouble: whom
+	longest  float64 // mean work
+	lastID   lynxspool.RequestID
+	acts     []lynxspool.Action
+	sum      *Summary
+}
+
+// Summary is what became of it.
+type Summary struct {
+	Classes     []ClassSummary `json:"classes"`
+	Seconds     []Second       `json:"seconds"`
+	Attempts    int            `json:"attempts"`
+	Events      int            `json:"events"`
+	Conns       float64        `json:"conns"`         // opened, a host
+	WorstOfMean float64        `json:"worst_of_mean"` // the work of the busiest host over the mean
+	Broken      [rules]int     `json:"broken"`        // by Rule
+	Why         []string       `json:"why"`           // the first few of them
+}
+
+// ClassSummary is what became of a class. Each first try ends in one of the five.
+type ClassSummary struct {
+	Name    string `json:"name"`
+	Asked   int    `json:"asked"`
+	InTime  int    `json:"in_time"` // within the aim, counted from the first try
+	Late    int    `json:"late"`
+	Refused int    `json:"refused"`
+	Failed  int    `json:"failed"`
+	Left    int    `json:"left"` // without an answer: its gateway died, or its time was up
+	Tries   int    `json:"tries"`
+
+	// Took are the times from the first try to the answer, in microseconds.
+	Took *hdrhistogram.Histogram `json:"-"`
+}
+
+// Second is what became of the first tries of a second.
+type Second struct {
+	Asked  int `json:"asked"`
+	InTime int `json:"in_time"`
+}
+
+// InTime is the share of the first tries that had their answer within the aim.
+func (s *Summary) InTime() float64 {
+	asked, in := 0, 0
+	for _, c := range s.Classes {
+		asked += c.Asked
+		in += c.InTime
+	}
+	if asked == 0 {
+		return 1
+	}
+	return float64(in) / float64(asked)
+}
+
+// whyMost is how many broken rules are worded.
+const whyMost = 10
+
+func (w *world) broke(r Rule, format string, args ...any) {
+	w.sum.Broken[r]++
+	if len(w.sum.Why) < whyMost {
+		w.sum.Why = append(w.sum.Why, fmt.Sprintf("%v: %v: ", w.now, r)+fmt.Sprintf(format, args...))
+	}
+}
+
+// tookMost bounds what is told apart in a histogram.
+const tookMost = time.Hour
+
+// Run plays a Config.
+func Run(cfg Config) (*Summary, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	w := &world{cfg: cfg, sum: &Summary{Seconds: make([]Second, int(cfg.Length.Seconds()+1))}}
+	if w.cfg.Net.Connect == 0 {
+		w.cfg.Net.Connect = 100 * time.Millisecond
+	}
+	w.cfg.Settings.Instances = cfg.Gateways
+	w.front, w.clients, w.lists = stream(cfg.Seed, "front", 0), stream(cfg.Seed, "clients", 0), stream(cfg.Seed, "lists", 0)
+	for i, t := range cfg.Classes {
+		w.sum.Classes = append(w.sum.Classes, ClassSummary{Name: t.Name, Took: hdrhistogram.New(1, tookMost.Microseconds(), 3)})
+		w.arrive = append(w.arrive, stream(cfg.Seed, "arrive "+t.Name, 0))
+		w.works = append(w.works, stream(cfg.Seed, "work "+t.Name, 0))
+		w.longest = max(w.longest, t.Work.Seconds())
+		w.next(i)
+	}
+	for _, k := range cfg.Hosts {
+		for range k.Count {
+			id := len(w.hosts)
+			w.hosts = append(w.hosts, &host{Kind: k, id: id, up: true, rng: stream(cfg.Seed, "errors", id), slow: 1})
+		}
+	}
+	for i := range cfg.Gateways {
+		g := &gateway{id: i, rng: stream(cfg.Seed, "net", i)}
+		w.gateways = append(w.gateways, g)
+		if err := w.start(g, lynxspool.ListFull); err != nil {
+			return nil, err
+		}
+	}
+	for i, t := range cfg.Troubles {
+		w.queue.push(event{at: t.At, kind: evTrouble, a: int32(i), n: 1})
+		w.queue.push(event{at: t.At + t.For, kind: evTrouble, a: int32(i)})
+	}
+	end := cfg.Length
+	for _, c := range cfg.Settings.Classes {
+		end = max(end, cfg.Length+lynxspool.Time(1+cfg.Clients.Retries)*(c.Deadline+answerSlack)+afterLast)
+	}
+	for len(w.queue.list) > 0 && w.queue.list[0].at <= end {
+		e := w.queue.pop()
+		w.now = e.at
+		w.sum.Events++
+		w.do(&e)
+	}
+	w.finish()
+	return w.sum, nil
+}
+
+// afterLast is how long a run goes on beyond the last client's time.
+const afterLast = time.Second
+
+// finish counts what is known at the end only.
+func (w *world) finish() {
+	total, worst := 0.0, 0.0
+	for _, h := range w.hosts {
+		w.advance(h)
+		per := h.busy / float64(h.Cores)
+		total += per
+		worst = max(worst, per)
+	}
+	if total > 0 {
+		w.sum.WorstOfMean = worst / (total / float64(len(w.hosts)))
+	}
+	w.sum.Conns /= float64(len(w.hosts))
+}
+
+func (w *world) do(e *event) {
+	switch e.kind {
+	case evArrive:
+		w.first(int(e.a))
+	case evAgain:
+		w.ask(e.r)
+	case evReach:
+		w.reach(e.r, int(e.n))
+	case evAnswer:
+		w.answer(e.r, int(e.n), lynxspool.Result(e.a))
+	case evUntil:
+		if a := &e.r.attempts[e.n]; !a.ended && e.r.gateway.life == e.r.life {
+			w.ended(e.r, int(e.n), lynxspool.TimedOut)
+		}
+	case evLeave:
+		w.leave(e.r)
+	case evTimer:
+		g := w.gateways[e.a]
+		if g.up && uint32(e.n>>timerBits) == g.life {
+			w.tell(g, func() { g.bal.Timer(w.now, e.n&(1<<timerBits-1)) })
+		}
+	case evDone:
+		if h := w.hosts[e.a]; h.plan == e.n {
+			w.done(h)
+		}
+	case evWarm:
+		if h := w.hosts[e.a]; uint64(h.life) == e.n {
+			w.advance(h)
+			w.settle(h)
+		}
+	case evTrouble:
+		w.trouble(int(e.a), e.n == 1)
+	case evList:
+		w.hear(w.gateways[e.a], w.hosts[e.n])
+	}
+}
+
+// timerBits are left of an event's number for the token of a timer; the rest is the gateway's life.
+const timerBits = 48
+
+// next plans the next first try of a class.
+func (w *world) next(class int) {
+	rate := w.cfg.Classes[class].Rate
+	if rate <= 0 {
+		return
+	}
+	// By thinning: at the highest rate that there is, and let through by the rate of the moment, so
+	// that a burst shifts nothing behind it.
+	most := rate * w.most(class)
+	at := w.now
+	rng := w.arrive[class]
+	for {
+		at += lynxspool.Time(rng.ExpFloat64() / most * 1e9)
+		if at >= w.cfg.Length {
+			return
+		}
+		if rng.Float64()*most < rate*w.times(class, at) {
+			break
+		}
+	}
+	w.queue.push(event{at: at, kind: evArrive, a: int32(class)})
+}
+
+func (w *world) times(class int, at lynxspool.Time) float64 {
+	x := 1.0
+	for _, b := range w.cfg.Bursts {
+		if at >= b.At && at < b.At+b.For && (b.Class == "" || b.Class == w.cfg.Classes[class].Name) {
+			x *= b.Times
+		}
+	}
+	return x
+}
+
+// most is the highest that times may be.
+func (w *world) most(class int) float64 {
+	x := 1.0
+	for _, b := range w.cfg.Bursts {
+		if b.Times > 1 && (b.Class == "" || b.Class == w.cfg.Classes[class].Name) {
+			x *= b.Times
+		}
+	}
+	return x
+}
+
+func (w *world) first(class int) {
+	w.next(class)
+	t := &w.cfg.Classes[class]
+	cv := t.CV
+	if cv == 0 {
+		cv = 1
+	}
+	dist := t.Dist
+	if dist == "" {
+		dist = Exponential
+	}
+	r := &request{class: class, first: w.now, client: w.clients.Uint64(), work: dist.draw(w.works[class], t.Work.Seconds(), cv)}
+	w.sum.Classes[class].Asked++
+	w.sum.Seconds[int(w.now.Seconds())].Asked++
+	w.ask(r)
+}
+
+// ask brings a client's try to a gateway.
+func (w *world) ask(r *request) {
+	w.lastID++
+	r.id, r.at, r.until = w.lastID, w.now, w.now+w.cfg.Settings.Classes[r.class].Deadline
+	w.sum.Classes[r.class].Tries++
+	g := w.pick()
+	if g == nil || !g.up {
+		w.retry(r, outcomeLeft, 0) // the connection is refused
+		return
+	}
+	r.gateway, r.life = g, g.life
+	g.open[r.id] = r
+	w.queue.push(event{at: r.until + answerSlack, kind: evLeave, r: r})
+	w.tell(g, func() {
+		g.bal.Request(w.now, lynxspool.Request{ID: r.id, Class: r.class, Left: r.until - w.now, Repeat: r.try > 0})
+	})
+}
+
+// pick is the gateway that the front sends a client to: any that it does not know to be dead.
+func (w *world) pick() *gateway {
+	u := w.front.IntN(len(w.gateways))
+	for i := range w.gateways {
+		g := w.gateways[(u+i)%len(w.gateways)]
+		if g.up || w.now < g.since+w.cfg.Clients.Notice {
+			return g
+		}
+	}
+	return nil
+}
+
+// outcome is how a try ended for its client.
+type outcome uint8
+
+const (
+	outcomeServed outcome = iota
+	outcomeRefused
+	outcomeFailed
+	outcomeLeft
+)
+
+// final is the one answer to a request.
+func (w *world) final(r *request, o outcome, after time.Duration) {
+	r.answers++
+	if r.answers > 1 || r.over && o != outcomeServed {
+		w.broke(RuleLost, "request %d has %d answers", r.id, r.answers)
+		return
+	}
+	if w.now > r.until+answerSlack {
+		w.broke(RuleLost, "request %d is answered %v after its time", r.id, w.now-r.until)
+	}
+	r.over = true
+	w.retry(r, o, after)
+}
+
+// retry ends a client's try: it has what it wants, or asks again, or gives up.
+func (w *world) retry(r *request, o outcome, after time.Duration) {
+	c := &w.sum.Classes[r.class]
+	if o != outcomeServed && r.try < w.cfg.Clients.Retries {
+		k := &w.cfg.Clients
+		wait := k.Backoff << min(r.try, 16)
+		if k.Jitter > 0 {
+			wait = time.Duration(float64(wait) * (1 + k.Jitter*(2*w.clients.Float64()-1)))
+		}
+		if after > wait && float64(r.client>>11)/(1<<53) < k.Honour {
+			wait = after
+		}
+		w.queue.push(event{at: w.now + wait, kind: evAgain, r: &request{class: r.class, first: r.first, client: r.client, work: r.work, try: r.try + 1}})
+		return
+	}
+	took := w.now - r.first
+	switch o {
+	case outcomeServed:
+		c.Took.RecordValue(max(1, took.Microseconds())) // it fails beyond tookMost only
+		aim := w.cfg.Settings.Classes[r.class].Aim
+		if aim == 0 {
+			aim = w.cfg.Settings.Classes[r.class].Deadline
+		}
+		if took <= aim {
+			c.InTime++
+			w.sum.Seconds[int(r.first.Seconds())].InTime++
+		} else {
+			c.Late++
+		}
+	case outcomeRefused:
+		c.Refused++
+	case outcomeFailed:
+		c.Failed++
+	default:
+		c.Left++
+	}
+}
+
+// leave is when the client of a request would wait no longer.
+func (w *world) leave(r *request) {
+	if r.over || r.gateway.life != r.life {
+		return
+	}
+	w.broke(RuleLost, "request %d has no answer when its time is up", r.id)
+	r.over = true
+	w.tell(r.gateway, func() { r.gateway.bal.Gone(w.now, r.id) })
+	w.retry(r, outcomeLeft, 0)
+}
