--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -319,7 +319,7 @@
 	}
 	c.idleBy = time.Time{} // reading it has set others
 	if b.end == nil {
-		if b.unasked || b.chunks != nil || b.left > front.MaxHeld {
+		if b.chunks != nil || b.left > front.MaxHeld {
 			return false
 		}
 		c.SetReadDeadline(time.Now().Add(requestTimeout))
--- a/internal/front/http1/conn_test.go
+++ b/internal/front/http1/conn_test.go
@@ -182,3 +182,72 @@
 		t.Error(err)
 	}
 }
+
+// A connection that was closed to make room brings no request, whatever it has sent: it guards
+// against hosts that work for a client who has been told, by the close, to ask elsewhere.
+func TestClosedForRoomBringsNothing(t *testing.T) {
+	server := testkit.NewHost(t, testkit.Says(testkit.Good))
+	g := startGateway(t, withHosts(server))
+	for _, first := range []bool{true, false} {
+		c := g.dial()
+		c.SetDeadline(time.Now().Add(testkit.Patience))
+		if !first {
+			if err := testkit.Asked(c); err != nil {
+				t.Fatal(err)
+			}
+		}
+		testkit.Until(t, "it waits", func() bool {
+			g.server.clients.mu.Lock()
+			defer g.server.clients.mu.Unlock()
+			return g.server.clients.silent.Len()+g.server.clients.idle.Len() == 1
+		})
+		before, _, _ := server.Counts()
+		k := g.server.leavers.all()[0]
+		k.use.Store(connClosed) // by makeRoom, whose close is on its way
+		io.WriteString(c, testkit.Look(testkit.NewID()))
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			t.Errorf("first %v: answered %d", first, resp.StatusCode)
+		}
+		if n, _, _ := server.Counts(); n != before {
+			t.Errorf("first %v: the host got it", first)
+		}
+		g.server.clients.mu.Lock()
+		g.server.clients.open-- // as makeRoom does
+		g.server.clients.mu.Unlock()
+	}
+}
+
+// Nothing comes ahead of an answer that has been begun: it guards against a 100 within the bytes
+// of an answer, where the body is asked for late.
+func TestNothingAheadOfAnAnswer(t *testing.T) {
+	ln := testkit.Listen(t, "127.0.0.1:0", nil)
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := newClientConn(nc.(*net.TCPConn), &ListenOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.req.Method = "POST"
+	b := &bodyReader{c: c, left: 4, unasked: true}
+	if err := c.send(200, nil, 0, nil); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(client, "body")
+	if n, err := b.Read(make([]byte, 4)); n != 4 || err != io.EOF {
+		t.Errorf("%d, %v", n, err)
+	}
+	c.inform(103, http.Header{"Link": {"a"}})
+	c.TCPConn.Close()
+	text, err := io.ReadAll(client)
+	if err != nil || strings.Count(string(text), "HTTP/1.1") != 1 {
+		t.Errorf("%q, %v", text, err)
+	}
+}
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -46,6 +47,17 @@
 	if s := status(); s.Refused["client rate"] != 2 || s.Refused["overload"] != 0 || len(s.Bodies) != 3 || s.Bodies["flows"].Most == 0 {
 		t.Errorf("after two refusals: %+v", s)
 	}
+	// Who waits to be asked for a body and is turned away ends with the answer: what comes then
+	// may be the body or the next request.
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	in := bufio.NewReader(c)
+	for _, want := range []int{200, 429} { // the first is of the body above
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != want || resp.Close != (want == 429) {
+			t.Fatalf("%+v, %v, want %d", resp, err, want)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
 	g.Quiesce()
 	if s := status(); s.Ready || s.State == "serving" {
 		t.Errorf("draining: %+v", s)
