lab report: one page with time lines, latencies, load by host and causes

Need: a table tells that a run went wrong, not when, nor why requests were turned away. The model counts answers that served nothing by the module's cause, and the load of each host; `lab report` writes one HTML page with pictures in it that needs nothing else. Lines differ by dash as well as colour.

--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -89,3 +89,33 @@
 		t.Errorf("%v, %v to %v", mean, low, high)
 	}
 }
+
+// The page stands by itself, has a picture of each kind and every cause, and no text of a scenario
+// becomes part of it as it is.
+func TestReport(t *testing.T) {
+	text, err := os.ReadFile(calm)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	file, out := filepath.Join(dir, "odd.toml"), filepath.Join(dir, "page.html")
+	odd := strings.Replace(string(text), `about = "`, `about = "<script>alert(1)</script>`, 1)
+	if err := os.WriteFile(file, []byte(odd), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if said, err := lab("report", file, "--set", "length=4s", "--set", "load=3", "--out", out); err != nil {
+		t.Fatal(said, err)
+	}
+	got, err := os.ReadFile(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for want, n := range map[string]int{"<svg": 3, "<polyline": 6, "<script": 0, "http": 0, "expected": 1, ">wait<": 1} {
+		if have := strings.Count(string(got), want); have != n && (n != 1 || have < 1) {
+			t.Errorf("%q is there %d times, want %d", want, have, n)
+		}
+	}
+	if said, err := lab("report", calm); err == nil {
+		t.Error("without a page to write:", said)
+	}
+}
--- a/internal/model/gateway.go
+++ b/internal/model/gateway.go
@@ -51,11 +51,13 @@
 			}
 		case lynxspool.Refuse:
 			if r := g.open[a.Request]; r != nil {
+				w.why(r, a.Why)
 				w.final(r, outcomeRefused, a.After)
 				w.forget(r)
 			}
 		case lynxspool.Fail:
 			if r := g.open[a.Request]; r != nil {
+				w.why(r, a.Why)
 				w.final(r, outcomeFailed, 0)
 				w.forget(r)
 			}
@@ -72,6 +74,13 @@
 	return event{at: at, kind: evAnswer, a: int32(result), n: n, r: r}
 }
 
+// why counts the cause of an answer that serves nothing.
+func (w *world) why(r *request, cause lynxspool.Cause) {
+	if int(cause) < causes {
+		w.sum.Classes[r.class].Why[cause]++
+	}
+}
+
 // send starts an attempt.
 func (w *world) send(g *gateway, a *lynxspool.Action) {
 	r := g.open[a.Request]
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -121,6 +121,7 @@
 	Events      int            `json:"events"`
 	Conns       float64        `json:"conns"`         // opened, a host
 	WorstOfMean float64        `json:"worst_of_mean"` // the work of the busiest host over the mean
+	Load        []float64      `json:"load"`          // work done by each host, a core and second
 	Broken      [rules]int     `json:"broken"`        // by Rule
 	Why         []string       `json:"why"`           // the first few of them
 }
@@ -135,11 +136,16 @@
 	Failed  int    `json:"failed"`
 	Left    int    `json:"left"` // without an answer: its gateway died, or its time was up
 	Tries   int    `json:"tries"`
+	// Why are the answers of gateways that served nothing, by the module's Cause.
+	Why [causes]int `json:"why"`
 
 	// Took are the times from the first try to the answer, in microseconds.
 	Took *hdrhistogram.Histogram `json:"-"`
 }
 
+// causes is how many the module tells apart for requests.
+const causes = int(lynxspool.CauseSpent) + 1
+
 // Second is what became of the first tries of a second.
 type Second struct {
 	Asked  int `json:"asked"`
@@ -230,6 +236,7 @@
 	for _, h := range w.hosts {
 		w.advance(h)
 		per := h.busy / float64(h.Cores)
+		w.sum.Load = append(w.sum.Load, per/w.cfg.Length.Seconds())
 		total += per
 		worst = max(worst, per)
 	}
