Tests of the head's bound and of what breaks off for HTTP/1.0 clients

Taking guards out of the front found two that no test missed: the bound on a head that ends within what is buffered, and the reset by which a client sees that an answer is not whole. An HTTP/1.0 client has nothing else to tell it by.

--- a/internal/front/http1/conn_test.go
+++ b/internal/front/http1/conn_test.go
@@ -251,3 +251,19 @@
 		t.Errorf("%q, %v", text, err)
 	}
 }
+
+// A head of just the bound is read and one of a byte more is not, however it comes.
+func TestHeadBound(t *testing.T) {
+	g := startGateway(t, withHosts(testkit.NewHost(t, testkit.Says(testkit.Good))))
+	for _, over := range []int{0, 1} {
+		head := "GET /_health HTTP/1.1\r\nHost: a\r\nX-Pad: "
+		head += strings.Repeat("x", maxRequestHead+over-len(head)-4) + "\r\n\r\n"
+		c := g.dial()
+		c.SetDeadline(time.Now().Add(testkit.Patience))
+		io.WriteString(c, head)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if want := []int{200, 431}[over]; err != nil || resp.StatusCode != want {
+			t.Errorf("%d bytes over: %+v, %v, want %d", over, resp, err, want)
+		}
+	}
+}
--- a/internal/gateway/flow_test.go
+++ b/internal/gateway/flow_test.go
@@ -911,3 +911,30 @@
 	}
 	<-done
 }
+
+// To an HTTP/1.0 client the connection's end is the answer's: where the host breaks off it sees a
+// reset, and never a clean end.
+func TestOldClientSeesWhatBreaksOff(t *testing.T) {
+	host := testkit.NewHost(t, func(c net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+		if r.URL.Path == "/whole" {
+			io.WriteString(c, "0\r\n\r\n")
+			return true
+		}
+		return false
+	})
+	g := startAppliance(t, head+poolText("p", "", host.Addr())+routeText("r", "pool = \"p\"\nclass = \"lookup\"\nstream = true"))
+	for path, whole := range map[string]bool{"/whole": true, "/broken": false} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(g.urls[0], "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(testkit.Patience))
+		io.WriteString(c, "GET "+path+" HTTP/1.0\r\nHost: a\r\n\r\n")
+		got, err := io.ReadAll(c)
+		if (err == nil) != whole || whole && !strings.HasSuffix(string(got), "\r\n\r\nfirst") {
+			t.Errorf("%s: %q, %v", path, got, err)
+		}
+		c.Close()
+	}
+}
