Tests of a half head behind a request, and of 1xx kept from HTTP/1.0 clients

Two guards of the clients' front had not been taken out: the deadline of a head that is not the connection's first, without which half a head would hold a connection as long as a silent one, and 1xx to clients that have none. Taken out together each fails its test; no code is changed.

--- a/internal/front/http1/conn_test.go
+++ b/internal/front/http1/conn_test.go
@@ -245,6 +245,9 @@
 		t.Errorf("%d, %v", n, err)
 	}
 	c.inform(103, http.Header{"Link": {"a"}})
+	// Nor to a client that has no such answers (RFC 9110, 15.2).
+	c.answered, c.req.Old = false, true
+	c.inform(103, http.Header{"Link": {"a"}})
 	c.TCPConn.Close()
 	text, err := io.ReadAll(client)
 	if err != nil || strings.Count(string(text), "HTTP/1.1") != 1 {
@@ -267,3 +270,18 @@
 		}
 	}
 }
+
+// A connection that has been of use and then brings half a head is closed as soon as a new one
+// would be: it guards against holding it for as long as one that says nothing between requests.
+func TestHalfHeadBehindARequest(t *testing.T) {
+	g := startGateway(t, withHosts(testkit.NewHost(t, testkit.Says(testkit.Good))))
+	c := g.dial()
+	if err := testkit.Asked(c); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "GET /api/1 HTTP/1.1\r\nHost: a\r\nX-Pri")
+	c.SetDeadline(time.Now().Add(owed))
+	if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
+		t.Errorf("%q, %v, want a close", got, err)
+	}
+}
