--- a/internal/standin/fastcgi.go
+++ b/internal/standin/fastcgi.go
@@ -118,7 +118,7 @@
 // connections: an http.RoundTripper, so that what asks by HTTP can ask by it.
 type WebServer struct {
 	Addr  string
-	Conns int // 0: 4
+	Conns int // 0: 4; a gateway refuses what more than fastcgi.ReqsMost ask at once on one
 
 	mu     sync.Mutex
 	conns  []*webConn
@@ -189,6 +189,10 @@
 	if k.err != nil {
 		return nil, k.err
 	}
+	if k.end.Status == fastcgi.Overloaded && k.out.Len() == 0 {
+		// It has an answer: no.
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
+	}
 	status, header, n, err := fastcgi.ParseAnswer(k.out.Bytes())
 	if err != nil || n == 0 || k.end.App != 0 || k.end.Status != fastcgi.RequestComplete {
 		return nil, fmt.Errorf("%w: %v, %v, %d bytes", errEnded, k.end, err, k.out.Len())
