The loop's delay is counted, shown in the status and by the benchmark of overload

Clients that came back too soon are left unread for half to all of a second by chance, not all for the same second.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -29,6 +29,8 @@
 	clock  clock
 	// Overload, if set before Run, is told what requests wait for the loop.
 	Overload *overload.Controller
+	// Waited counts how long requests waited for the loop.
+	Waited overload.Delays
 
 	// All below belongs to the goroutine of Run.
 	ctx    context.Context // of all attempts
@@ -104,15 +106,15 @@
 			wait = uploadMost // its own pace ends it sooner
 		}
 	}
-	if e.Overload != nil {
-		came := time.Now()
-		e.post(func(now lynxspool.Time) {
-			e.Overload.Delay(now, now-e.clock.at(came))
-			e.submit(now, x)
-		})
-	} else {
-		e.post(func(now lynxspool.Time) { e.submit(now, x) })
-	}
+	came := time.Now()
+	e.post(func(now lynxspool.Time) {
+		waited := now - e.clock.at(came)
+		e.Waited.Add(waited)
+		if e.Overload != nil {
+			e.Overload.Delay(now, waited)
+		}
+		e.submit(now, x)
+	})
 	late := time.NewTimer(wait)
 	defer late.Stop()
 	for {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -373,9 +374,10 @@
 // costs them as little as us.
 const pauseMost = time.Second
 
-// pause leaves a connection unread for a while.
+// pause leaves a connection unread for a while, by chance half of the longest to all of it: those
+// that were turned away together do not come back together.
 func (s *Server) pause(c *clientConn, after time.Duration) {
-	t := time.NewTimer(min(after, pauseMost))
+	t := time.NewTimer(min(after, pauseMost/2+rand.N(pauseMost/2)))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -27,6 +27,7 @@
 
 	"lynxspool/internal/config"
 	"lynxspool/internal/fastcgi"
+	"lynxspool/internal/overload"
 	"lynxspool/internal/standin"
 )
 
@@ -35,7 +36,7 @@
 func BenchmarkIdlePool(b *testing.B) {
 	const pools = 200
 	var text strings.Builder
-	text.WriteString(strings.Replace(head, "sockets = 1024", "sockets = 8192", 1))
+	text.WriteString(strings.Replace(watching, "sockets = 1024", "sockets = 8192", 1))
 	for i := range pools {
 		name := fmt.Sprint("p", i)
 		text.WriteString(poolText(name, "", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"))
@@ -84,6 +85,7 @@
 	}
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	var addr string
+	waited := &overload.Delays{}
 	switch kind {
 	case "dunemoor", "dunemoor-64", "dunemoor-off", "dunemoor-rate":
 		limits := "memory_mb = 1024\nsockets = 40000"
@@ -93,7 +95,7 @@
 		if kind == "dunemoor-off" {
 			limits += "\noverload = false"
 		}
-		top := strings.Replace(head, "sockets = 1024", limits, 1)
+		top := strings.Replace(watching, "sockets = 1024", limits, 1)
 		if kind == "dunemoor-rate" {
 			top = strings.Replace(top, "[[listener]]", "[limits.client]\nrate = 0.001\nburst = 1.0\n[[listener]]", 1)
 		}
@@ -108,9 +110,10 @@
 			panic(err)
 		}
 		addr = g.box.listeners["127.0.0.1:0"].Addr().String()
+		waited = &g.engine.Waited
 	case "dunemoor-cgi":
 		web, cgi, _ := strings.Cut(host, ";")
-		text := strings.Replace(head, "sockets = 1024", "memory_mb = 64\nsockets = 1024", 1) + poolText("http", "", web) + cgiPool("cgi", "", cgi) + webListener
+		text := strings.Replace(watching, "sockets = 1024", "memory_mb = 64\nsockets = 1024", 1) + poolText("http", "", web) + cgiPool("cgi", "", cgi) + webListener
 		for _, pool := range []string{"http", "cgi"} {
 			text += routeText(pool, "path = \"/"+pool+"\"\npool = \""+pool+"\"\nclass = \"lookup\"")
 		}
@@ -163,10 +166,10 @@
 		}
 	}
 	fmt.Println(addr)
-	for in := bufio.NewScanner(os.Stdin); in.Scan(); { // a line asks for what was allocated so far
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); { // a line asks for what was counted so far
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
-		fmt.Println(m.Mallocs)
+		fmt.Println(m.Mallocs, waited.Quantile(0.99).Microseconds())
 	}
 }
 
@@ -178,13 +181,14 @@
 	out io.Reader
 }
 
-// mallocs is how many objects the process has allocated so far.
-func (c *child) mallocs(b *testing.B) (n uint64) {
+// counted is how many objects the process has allocated so far, and what 99 in 100 requests
+// waited for its loop at most, in microseconds.
+func (c *child) counted(b *testing.B) (mallocs uint64, loop float64) {
 	io.WriteString(c.in, "\n")
-	if _, err := fmt.Fscan(c.out, &n); err != nil {
+	if _, err := fmt.Fscan(c.out, &mallocs, &loop); err != nil {
 		b.Fatal(err)
 	}
-	return n
+	return mallocs, loop
 }
 
 func startChild(b *testing.B, kind, host string) *child {
@@ -562,6 +566,8 @@
 			slices.Sort(took)
 			b.ReportMetric(100*float64(in)/float64(len(took)), kind+"-%in-500ms")
 			b.ReportMetric(float64(took[len(took)*99/100].Milliseconds()), kind+"-p99-ms")
+			_, loop := c.counted(b)
+			b.ReportMetric(loop, kind+"-loop-p99-us")
 			b.ReportMetric(float64(failed), kind+"-failed")
 			b.ReportMetric(float64(lookups.Load()), kind+"-lookups")
 			b.ReportMetric(float64(refused.Load()), kind+"-refused")
@@ -656,7 +662,8 @@
 		for round := range 7 {
 			for _, w := range ways {
 				cpu, _ := c.used(b)
-				mallocs, began := c.mallocs(b), time.Now()
+				mallocs, _ := c.counted(b)
+				began := time.Now()
 				var mu sync.Mutex
 				var all sync.WaitGroup
 				var took []time.Duration
@@ -689,7 +696,8 @@
 				w.span += time.Since(began)
 				after, _ := c.used(b)
 				w.cpu += after - cpu
-				w.mallocs += c.mallocs(b) - mallocs
+				now, _ := c.counted(b)
+				w.mallocs += now - mallocs
 				w.took = append(w.took, took...)
 			}
 		}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -4,6 +4,7 @@
 	"lynxspool/internal/body"
 	"lynxspool/internal/front"
 	"lynxspool/internal/front/http1"
+	"lynxspool/internal/overload"
 )
 
 // Status is what a gateway counts, for operators. All of it is read beside the loop, which is
@@ -17,6 +18,18 @@
 	Clients  http1.Counts     `json:"clients"`
 	Bodies   map[string]Bytes `json:"bodies"`  // by what memory is taken for
 	Refused  map[string]int64 `json:"refused"` // at the gate since the start, by cause
+	Loop     Delay            `json:"loop"`    // how long requests waited for the loop since the start
+}
+
+// Delay is how long something took, in microseconds, to within an eighth.
+type Delay struct {
+	P50  int64 `json:"p50_us"`
+	P99  int64 `json:"p99_us"`
+	Most int64 `json:"most_us"`
+}
+
+func delayOf(h *overload.Delays) Delay {
+	return Delay{h.Quantile(0.5).Microseconds(), h.Quantile(0.99).Microseconds(), h.Most().Microseconds()}
 }
 
 // Bytes are how many are taken, and how many may be.
@@ -30,7 +43,7 @@
 	state, _ := g.gate.Draining()
 	s := Status{
 		State: state.String(), IDs: g.gate.Open(), Clients: g.server.Counts(),
-		Bodies: map[string]Bytes{}, Refused: map[string]int64{},
+		Bodies: map[string]Bytes{}, Refused: map[string]int64{}, Loop: delayOf(&g.engine.Waited),
 	}
 	s.Ready, s.Detail = g.gate.Health()
 	for _, c := range body.Causes() {
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -28,7 +28,7 @@
 		}
 		return s
 	}
-	if s := status(); !s.Ready || s.State != "serving" || s.Bodies["requests"].Used != 0 || s.Refused["client rate"] != 0 || s.Clients.Open != 0 {
+	if s := status(); !s.Ready || s.State != "serving" || s.Bodies["requests"].Used != 0 || s.Refused["client rate"] != 0 || s.Clients.Open != 0 || s.Loop != (Delay{}) {
 		t.Errorf("at rest: %+v", s)
 	}
 	const most = 60 << 10
@@ -44,6 +44,9 @@
 	for range 4 {
 		fetch(t, "GET", g.urls[0]+"/", "")
 	}
+	if s := status(); s.Loop.Most == 0 || s.Loop.P99 > s.Loop.Most || s.Loop.P50 > s.Loop.P99 {
+		t.Errorf("requests waited %+v for the loop", s.Loop)
+	}
 	if s := status(); s.Refused["client rate"] != 2 || s.Refused["overload"] != 0 || len(s.Bodies) != 3 || s.Bodies["flows"].Most == 0 {
 		t.Errorf("after two refusals: %+v", s)
 	}
