The share that is shed is steered as in PIE, over the mix of what comes

At 3,000 clients that never rest half of the lookups that could be served were turned away. A trace showed the pressure climb for a second through ranks that nobody asked for, shed all at once as it came to the one that was, and fall to nothing while the cores stood still.

The controller keeps a share now, with a proportional and an integral part on the delay (RFC 8033, 4.2), and cuts it from the mix of ranks that came in the last half second. Who comes back early is let in as far as cores have stood still. Advice grows with the share.

--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -121,11 +121,11 @@
 	soon := false
 	turned := func(why Refusal) error {
 		l.counts[why].Add(1)
-		pressure := 0.0
+		level := 0.0
 		if l.Overload != nil {
-			pressure = l.Overload.Pressure()
+			level = l.Overload.Level()
 		}
-		after := overload.Advice(pressure, l.Base, l.Most, e.client)
+		after := overload.Advice(level, l.Base, l.Most, e.client)
 		if e.counted {
 			l.Clients.End(e.client)
 			e.counted = false
@@ -138,9 +138,9 @@
 	if m.Peer.Addr.IsValid() {
 		e.client = clientKey(clientOf(m))
 	}
-	// Who came back too soon is held to it while there is pressure, and never for what is worth
+	// Who came back too soon is held to it while there is no room, and never for what is worth
 	// most.
-	spared := l.Overload == nil || l.Overload.Pressure() == 0 ||
+	spared := l.Overload == nil || rand.Float64() < l.Overload.Room() ||
 		e.Route.First != nil && e.Route.First[e.Class] == slices.Max(e.Route.First)
 	if l.Clients != nil && m.Peer.Addr.IsValid() {
 		var v fair.Verdict
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -15,6 +15,7 @@
 	Detail   string           `json:"detail"`   // what health says
 	IDs      int              `json:"ids"`      // of our protocol that are in use by open requests
 	Pressure float64          `json:"pressure"` // ranks of classes that are shed; 0: none
+	Shed     float64          `json:"shed"`     // share of requests that is to be turned away, what is worth most left out
 	Clients  http1.Counts     `json:"clients"`
 	Bodies   map[string]Bytes `json:"bodies"`  // by what memory is taken for
 	Refused  map[string]int64 `json:"refused"` // at the gate since the start, by cause
@@ -55,7 +56,7 @@
 			s.Refused[why.String()] = l.Refused(why)
 		}
 		if l.Overload != nil {
-			s.Pressure = l.Overload.Pressure()
+			s.Pressure, s.Shed = l.Overload.Pressure(), l.Overload.Shed()
 		}
 	}
 	return s
