--- a/cmd/lab/lab_test.go
+++ b/cmd/lab/lab_test.go
@@ -119,3 +119,33 @@
 		t.Error("without a page to write:", said)
 	}
 }
+
+// A hunt says what it found and writes it small, as scenarios that play as it said; the same
+// seed finds the same on any number of cores.
+func TestHunt(t *testing.T) {
+	args := []string{"hunt", calm, "--runs", "48", "--seed", "4", "--length", "8s", "--hosts", "8", "--gateways", "4", "--finds", "2"}
+	var said []string
+	dir := t.TempDir()
+	for range 2 {
+		out, err := lab(append(args, "--out", dir)...)
+		if err != nil {
+			t.Fatal(out, err)
+		}
+		said = append(said, out)
+	}
+	if said[0] != said[1] || !strings.Contains(said[0], "48 played") {
+		t.Errorf("%s\nand then\n%s", said[0], said[1])
+	}
+	found, err := filepath.Glob(filepath.Join(dir, "found-*.toml"))
+	if err != nil || len(found) != 2 {
+		t.Fatalf("%v, %v\n%s", found, err, said[0])
+	}
+	if out, err := lab(append([]string{"run"}, found...)...); err != nil {
+		t.Errorf("%v\n%s", err, out)
+	}
+	for _, args := range [][]string{{"hunt", calm, "--runs", "0"}, {"hunt", "none.toml"}, {"hunt", calm, "--out", filepath.Join(dir, "none"), "--runs", "32", "--length", "2s"}} {
+		if out, err := lab(args...); err == nil {
+			t.Errorf("%v: no error\n%s", args, out)
+		}
+	}
+}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -21,6 +21,6 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	cmd.CompletionOptions.DisableDefaultCmd = true
-	cmd.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand())
+	cmd.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), huntCommand())
 	return cmd
 }
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -35,7 +36,7 @@
 	P99  float64 `json:"p99_ms"`
 }
 
-// play plays each scenario with each seed, on all cores.
+// play plays each scenario with each seed, on all cores. With a first of 0 it is the scenario's own.
 func play(list []*scenario.Scenario, first uint64, seeds int) []played {
 	out := make([]played, len(list)*seeds)
 	var all sync.WaitGroup
@@ -45,7 +46,7 @@
 			all.Go(func() {
 				turns <- struct{}{}
 				defer func() { <-turns }()
-				out[i*seeds+k] = playOne(s, first+uint64(k))
+				out[i*seeds+k] = playOne(s, cmp.Or(first, s.Seed, 1)+uint64(k))
 			})
 		}
 	}
@@ -136,7 +137,7 @@
 			return nil
 		},
 	}
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "first seed")
+	cmd.Flags().Uint64Var(&seed, "seed", 0, "first seed; 0: the scenario's own, or 1")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, one after the other")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "a line of JSON for each run")
 	cmd.Flags().StringArrayVar(&set, "set", nil, "KEY=VALUE, as for sweep; may be repeated")
--- a/internal/config/lines.go
+++ b/internal/config/lines.go
@@ -239,6 +239,9 @@
 // Span is a time as it stands in a file, like "250ms".
 type Span time.Duration
 
+// MarshalText writes a Span as it is read.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
 // UnmarshalText reads a Span.
 func (s *Span) UnmarshalText(text []byte) error {
 	d, err := time.ParseDuration(string(text))
--- a/internal/model/gateway.go
+++ b/internal/model/gateway.go
@@ -230,46 +230,70 @@
 		}
 		h := w.hosts[k]
 		w.advance(h)
+		before := w.among(h)
+		if begins {
+			h.hits = append(h.hits, i)
+		} else {
+			h.hits = slices.DeleteFunc(h.hits, func(n int) bool { return n == i })
+		}
+		now := w.among(h)
+		switch {
+		case now.down && !before.down:
+			w.end(h, t.Kind == Crash)
+			w.list(h, lynxspool.Removed, w.cfg.Lists.Silent)
+		case now.down: // and was
+		case before.down:
+			w.begin(h)
+			w.list(h, now.listed(), w.cfg.Lists.Delay)
+		case now.drained && !before.drained:
+			w.list(h, lynxspool.Draining, w.cfg.Lists.Delay)
+		case before.drained && !now.drained:
+			w.end(h, true)
+			w.begin(h)
+			w.list(h, lynxspool.Ready, w.cfg.Lists.Delay)
+		}
+		h.silent, h.hung, h.unheard, h.slow, h.errors = now.silent, now.hung, now.unheard, now.slow, now.errors
+		w.settle(h)
+	}
+}
+
+// ills are what goes wrong with a host at a time, whichever troubles that is of.
+type ills struct {
+	down, silent, drained, hung, unheard bool
+	slow, errors                         float64
+}
+
+func (s ills) listed() lynxspool.HostState {
+	if s.drained {
+		return lynxspool.Draining
+	}
+	return lynxspool.Ready
+}
+
+// among is what the troubles make of a host that it is hit by now. They may overlap: it is down
+// until the last that has it down has ended, and as slow as the worst makes it.
+func (w *world) among(h *host) ills {
+	s := ills{slow: 1}
+	for _, i := range h.hits {
+		t := &w.cfg.Troubles[i]
 		switch t.Kind {
 		case Crash:
-			if begins {
-				w.end(h, true)
-				w.list(h, lynxspool.Removed, w.cfg.Lists.Silent)
-			} else {
-				w.begin(h)
-				w.list(h, lynxspool.Ready, w.cfg.Lists.Delay)
-			}
+			s.down = true
 		case Vanish:
-			if h.silent = begins; begins {
-				w.end(h, false)
-				w.list(h, lynxspool.Removed, w.cfg.Lists.Silent)
-			} else {
-				w.begin(h)
-				w.list(h, lynxspool.Ready, w.cfg.Lists.Delay)
-			}
+			s.down, s.silent = true, true
 		case Drain:
-			if begins {
-				w.list(h, lynxspool.Draining, w.cfg.Lists.Delay)
-			} else {
-				w.end(h, true)
-				w.begin(h)
-				w.list(h, lynxspool.Ready, w.cfg.Lists.Delay)
-			}
+			s.drained = true
 		case Hang:
-			h.hung = begins
+			s.hung = true
 		case Unheard:
-			h.unheard = begins
+			s.unheard = true
 		case Slow:
-			if h.slow = 1; begins {
-				h.slow = t.Size
-			}
+			s.slow = max(s.slow, t.Size)
 		case Errors:
-			if h.errors = 0; begins {
-				h.errors = t.Size
-			}
+			s.errors = max(s.errors, t.Size)
 		}
-		w.settle(h)
 	}
+	return s
 }
 
 // list has every gateway hear of a host, each in its time.
@@ -299,8 +323,17 @@
 	}
 }
 
-// kill ends a gateway, or starts it again with the list as it has it saved.
+// kill ends a gateway, or starts it again with the list as it has it saved, once the last trouble
+// that has it down has ended.
 func (w *world) kill(g *gateway, begins bool) {
+	if begins {
+		g.downs++
+	} else {
+		g.downs--
+	}
+	if begins && g.downs > 1 || !begins && g.downs > 0 {
+		return
+	}
 	if !begins {
 		if err := w.start(g, lynxspool.ListSaved); err != nil {
 			panic(err) // its settings were right before
--- a/internal/model/host.go
+++ b/internal/model/host.go
@@ -38,6 +38,7 @@
 	started lynxspool.Time // 0: long ago
 	life    uint32         // counts its starts: what came before is gone
 	silent  bool           // packets to it are lost
+	hits    []int          // troubles that it is hit by now
 	hung    bool
 	unheard bool
 	slow    float64 // factor
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -82,6 +82,7 @@
 	id    int
 	life  uint32
 	up    bool
+	downs int            // troubles that have it down
 	since lynxspool.Time // down since
 	bal   *lynxspool.Balancer
 	rng   *rand.Rand      // network
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/BurntSushi/toml"
+
 	"lynxspool"
 	"lynxspool/internal/config"
 	"lynxspool/internal/model"
@@ -20,6 +22,7 @@
 type Scenario struct {
 	Name   string
 	About  string
+	Seed   uint64 // that it is played with where no other is asked for; 0: 1
 	Model  model.Config
 	Expect Expect
 }
@@ -59,57 +62,97 @@
 
 // file is the form of the text.
 type file struct {
-	About    string
-	Length   config.Span
-	Gateways int
-	Module   struct {
-		Attempts   int
-		RetryAfter config.Span `toml:"retry_after"`
-		ColdFrom   float64     `toml:"cold_from"`
-		WarmAfter  config.Span `toml:"warm_after"`
-		Overload   float64
-		Fall       config.Span
-	}
-	Hosts []struct {
-		Count, Cores, Slots, Queue, Conns, Zone int
-		Speed                                   float64
-		CrowdAt                                 float64 `toml:"crowd_at"`
-		CrowdEnd                                float64 `toml:"crowd_end"`
-		Slower                                  float64
-	}
-	Class []struct {
-		Name, Effect, Group, Dist string
-		Rate, CV, Worth           float64
-		Work, Aim, Deadline       config.Span
-		Window                    config.Span
-	}
-	Clients struct {
-		Retries         int
-		Backoff, Notice config.Span
-		Jitter, Honour  float64
-	}
-	Net struct {
-		Delay, Handshake, Connect config.Span
-		Spread                    float64
-	}
-	Lists struct {
-		Delay, Silent, Spread config.Span
-	}
-	Burst []struct {
-		At, For config.Span
-		Times   float64
-		Class   string
-	}
-	Trouble []struct {
-		Kind       string
-		At, For    config.Span
-		Part, Size float64
-	}
-	Expect struct {
-		InTime    float64     `toml:"in_time"`
-		EndFrom   config.Span `toml:"end_from"`
-		EndInTime float64     `toml:"end_in_time"`
-	}
+	About    string      `toml:"about,omitempty"`
+	Seed     int64       `toml:"seed,omitzero"`
+	Length   config.Span `toml:"length"`
+	Gateways int         `toml:"gateways"`
+	Module   module      `toml:"module"`
+	Hosts    []hosts     `toml:"hosts"`
+	Class    []class     `toml:"class"`
+	Clients  clients     `toml:"clients"`
+	Net      network     `toml:"net"`
+	Lists    lists       `toml:"lists"`
+	Burst    []burst     `toml:"burst,omitempty"`
+	Trouble  []trouble   `toml:"trouble,omitempty"`
+	Expect   expect      `toml:"expect"`
+}
+
+type module struct {
+	Attempts   int         `toml:"attempts,omitzero"`
+	RetryAfter config.Span `toml:"retry_after,omitzero"`
+	ColdFrom   float64     `toml:"cold_from,omitzero"`
+	WarmAfter  config.Span `toml:"warm_after,omitzero"`
+	Overload   float64     `toml:"overload,omitzero"`
+	Fall       config.Span `toml:"fall,omitzero"`
+}
+
+type hosts struct {
+	Count    int     `toml:"count"`
+	Cores    int     `toml:"cores"`
+	Speed    float64 `toml:"speed,omitzero"`
+	Slots    int     `toml:"slots,omitzero"`
+	Queue    int     `toml:"queue,omitzero"`
+	Conns    int     `toml:"conns,omitzero"`
+	Zone     int     `toml:"zone,omitzero"`
+	CrowdAt  float64 `toml:"crowd_at,omitzero"`
+	CrowdEnd float64 `toml:"crowd_end,omitzero"`
+	Slower   float64 `toml:"slower,omitzero"`
+}
+
+type class struct {
+	Name     string      `toml:"name"`
+	Effect   string      `toml:"effect"`
+	Group    string      `toml:"group,omitempty"`
+	Window   config.Span `toml:"window,omitzero"`
+	Rate     float64     `toml:"rate"`
+	Work     config.Span `toml:"work"`
+	Dist     string      `toml:"dist,omitempty"`
+	CV       float64     `toml:"cv,omitzero"`
+	Aim      config.Span `toml:"aim,omitzero"`
+	Deadline config.Span `toml:"deadline,omitzero"`
+	Worth    float64     `toml:"worth,omitzero"`
+}
+
+type clients struct {
+	Retries int         `toml:"retries,omitzero"`
+	Backoff config.Span `toml:"backoff,omitzero"`
+	Jitter  float64     `toml:"jitter,omitzero"`
+	Honour  float64     `toml:"honour,omitzero"`
+	Notice  config.Span `toml:"notice,omitzero"`
+}
+
+type network struct {
+	Delay     config.Span `toml:"delay,omitzero"`
+	Spread    float64     `toml:"spread,omitzero"`
+	Handshake config.Span `toml:"handshake,omitzero"`
+	Connect   config.Span `toml:"connect,omitzero"`
+}
+
+type lists struct {
+	Delay  config.Span `toml:"delay,omitzero"`
+	Silent config.Span `toml:"silent,omitzero"`
+	Spread config.Span `toml:"spread,omitzero"`
+}
+
+type burst struct {
+	At    config.Span `toml:"at"`
+	For   config.Span `toml:"for"`
+	Times float64     `toml:"times"`
+	Class string      `toml:"class,omitempty"`
+}
+
+type trouble struct {
+	Kind string      `toml:"kind"`
+	At   config.Span `toml:"at"`
+	For  config.Span `toml:"for"`
+	Part float64     `toml:"part"`
+	Size float64     `toml:"size,omitzero"`
+}
+
+type expect struct {
+	InTime    float64     `toml:"in_time,omitzero"`
+	EndFrom   config.Span `toml:"end_from,omitzero"`
+	EndInTime float64     `toml:"end_in_time,omitzero"`
 }
 
 var (
@@ -138,7 +181,10 @@
 		}
 		wrong = append(wrong, text.Error(text.Line(table, n, field), name, format, args...))
 	}
-	s := &Scenario{Name: strings.TrimSuffix(filepath.Base(path), ".toml"), About: f.About}
+	s := &Scenario{Name: strings.TrimSuffix(filepath.Base(path), ".toml"), About: f.About, Seed: uint64(max(f.Seed, 0))}
+	if f.Seed < 0 {
+		bad("", 0, "seed", "%d is below 0", f.Seed)
+	}
 	m := &s.Model
 	m.Length, m.Gateways = time.Duration(f.Length), f.Gateways
 	m.Settings = lynxspool.Settings{
@@ -201,3 +247,39 @@
 	}
 	return s, nil
 }
+
+// Text is the scenario as a file that Parse reads as the same.
+func (s *Scenario) Text() (string, error) {
+	m, k := &s.Model, &s.Model.Settings
+	f := file{
+		About: s.About, Seed: int64(s.Seed), Length: config.Span(m.Length), Gateways: m.Gateways,
+		Module:  module{k.MaxAttempts, config.Span(k.MaxRetryAfter), k.ColdFrom, config.Span(k.WarmAfter), k.OverloadFactor, config.Span(k.Fall)},
+		Clients: clients{m.Clients.Retries, config.Span(m.Clients.Backoff), m.Clients.Jitter, m.Clients.Honour, config.Span(m.Clients.Notice)},
+		Net:     network{config.Span(m.Net.Delay), m.Net.Spread, config.Span(m.Net.Handshake), config.Span(m.Net.Connect)},
+		Lists:   lists{config.Span(m.Lists.Delay), config.Span(m.Lists.Silent), config.Span(m.Lists.Spread)},
+		Expect:  expect{s.Expect.InTime, config.Span(s.Expect.EndFrom), s.Expect.EndInTime},
+	}
+	for _, h := range m.Hosts {
+		f.Hosts = append(f.Hosts, hosts{h.Count, h.Cores, h.Speed, h.Slots, h.Queue, h.Conns, h.Zone, h.CrowdAt, h.CrowdEnd, h.Slower})
+	}
+	for i, t := range m.Classes {
+		c := k.Classes[i]
+		f.Class = append(f.Class, class{
+			t.Name, effects[c.Effect], groups[c.Group], config.Span(c.Window), t.Rate, config.Span(t.Work), string(t.Dist), t.CV,
+			config.Span(c.Aim), config.Span(c.Deadline), c.Worth,
+		})
+	}
+	for _, b := range m.Bursts {
+		f.Burst = append(f.Burst, burst{config.Span(b.At), config.Span(b.For), b.Times, b.Class})
+	}
+	for _, t := range m.Troubles {
+		f.Trouble = append(f.Trouble, trouble{string(t.Kind), config.Span(t.At), config.Span(t.For), t.Part, t.Size})
+	}
+	var out strings.Builder
+	enc := toml.NewEncoder(&out)
+	enc.Indent = ""
+	if err := enc.Encode(f); err != nil {
+		return "", err
+	}
+	return out.String(), nil
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -27,7 +28,7 @@
 			if s.About == "" || s.Expect == (Expect{}) {
 				t.Error("it does not say what it is about, or expects nothing")
 			}
-			s.Model.Seed = 1
+			s.Model.Seed = max(s.Seed, 1)
 			sum, err := model.Run(s.Model)
 			if err != nil {
 				t.Fatal(err)
@@ -39,6 +40,33 @@
 	}
 }
 
+// A scenario that is written is read as the same one: it guards against a find of a search that
+// can't be played again.
+func TestTextIsReadAsTheSame(t *testing.T) {
+	paths, err := filepath.Glob("../../scenarios/*.toml")
+	if err != nil || len(paths) < 20 {
+		t.Fatalf("%d scenarios, %v", len(paths), err)
+	}
+	for _, path := range paths {
+		s, wrong := Load(path)
+		if len(wrong) > 0 {
+			t.Fatal(wrong)
+		}
+		s.Seed = 7
+		text, err := s.Text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, wrong := Parse(path, text)
+		if len(wrong) > 0 {
+			t.Fatalf("%s: %v in\n%s", path, wrong, text)
+		}
+		if !reflect.DeepEqual(s, again) {
+			t.Errorf("%s: %+v was written as\n%s", path, s, text)
+		}
+	}
+}
+
 // Mistakes are all said at once, each with its line and field.
 func TestMistakes(t *testing.T) {
 	text, err := os.ReadFile("../../scenarios/a-fifth-of-the-hosts-die.toml")
