--- a/internal/hunt/hunt.go
+++ b/internal/hunt/hunt.go
@@ -158,7 +158,7 @@
 // reckoned with in steps of 100 ms: of their cores' work at most 70 in 100, of an error's share
 // nothing, of a host that fails nothing from its trouble to its end, of requests that go to a part
 // that has just failed nothing for as long as it takes to notice. Gateways that die lose what was
-// on them, and what comes until clients notice. Hosts that came back cold count from where they
+// on them, and what comes until clients notice, or until they are back where none is left. Hosts that came back cold count from where they
 // are warm.
 func Possible(c model.Config) float64 {
 	work, rates := 0.0, 0.0 // of all classes, a second
@@ -194,7 +194,7 @@
 				}
 			}
 		}
-		well, lost := 1.0, 0.0
+		well, lost, gone := 1.0, 0.0, 0.0
 		for _, t := range c.Troubles {
 			left := 1.0 // of what the part that is hit can do
 			switch t.Kind {
@@ -217,7 +217,9 @@
 			case model.Crash, model.Vanish, model.Drain:
 				warm = c.Settings.WarmAfter
 			case model.Gateway:
-				end = t.At
+				if at >= t.At && at < end {
+					gone += hit
+				}
 				if at >= t.At && at < t.At+max(grace, c.Clients.Notice) {
 					lost = max(lost, hit)
 				}
@@ -230,6 +232,9 @@
 				lost = max(lost, part)
 			}
 		}
+		if gone > 0.999 { // no gateway is left, or may be
+			lost = 1
+		}
 		share := min(1, usable*all*well/max(work*times, 1e-9)) * (1 - lost)
 		asked += times
 		served += times * share
--- a/internal/hunt/hunt_test.go
+++ b/internal/hunt/hunt_test.go
@@ -51,6 +51,8 @@
 	near("a quarter hangs: what goes there until it is noticed", Possible(c), 1-0.25*3/20)
 	c.Troubles = []model.Trouble{{Kind: model.Gateway, At: 10 * time.Second, For: 5 * time.Second, Part: 0.01}}
 	near("one gateway of two", Possible(c), 1-0.5*2/20)
+	c.Troubles[0].Part = 1
+	near("both gateways", Possible(c), 1-5.0/20)
 	c.Classes = nil
 	near("nothing is asked", Possible(c), 1)
 }
