A host that rests and then answers well rests no longer

A trace of one gateway showed why: each host rested for 10 s after its last late answer, and its first good one sent it to rest again for 4.5 s, the next for 2 s, as the mean that is looked at was from before the rest. A host whose limit is below one is sent to rest by an answer that is itself late, and by no other.

--- a/balancer.go
+++ b/balancer.go
@@ -945,11 +945,12 @@
 // of the aim. It guards against crowding, which wastes the work of requests that
 // come too late and can tip a host into a slow state; it acts when a host's mean RTT
 // passes that share, and then once a round: only an attempt sent after the last cut
-// can tell whether that was enough.
+// can tell whether that was enough. A host that rests is judged by each answer alone, as
+// its mean is from before the rest.
 func (b *Balancer) adjust(h *host, aims float64, aim, sent Time) {
 	h.lat.addAt(aims, b.now, recentAims*b.aim.Seconds())
 	bank := b.sharers()
-	if h.lat.mean > limitAims {
+	if h.lat.mean > limitAims && (h.limit >= 1 || aims > limitAims) {
 		if sent >= h.cutAt {
 			h.limit = max(limitLeast/bank, h.limit*limitAims/h.lat.mean)
 			h.cutAt = b.now
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1061,6 +1061,37 @@
 	}
 }
 
+// A host that rests after an outage and then answers well rests no longer: it guards against its
+// mean, which is as old as the rest was long, sending it to rest again and again for half a minute
+// after it is back. A late answer still does.
+func TestGoodAnswerEndsARest(t *testing.T) {
+	set := basic()
+	set.Instances = 8
+	g := start(t, set, hosts(1)...)
+	h := g.b.hosts[0]
+	for range 20 { // none is answered in time
+		g.b.now += time.Second
+		g.b.adjust(h, 6, g.b.aim, g.b.now-time.Second)
+	}
+	limit, rest := h.limit, h.restUntil
+	if limit >= 1 || rest <= g.b.now {
+		t.Fatalf("limit %v, rest until %v at %v, want both cut", limit, rest, g.b.now)
+	}
+	g.b.now = rest + ms
+	g.b.adjust(h, limitAims/4, g.b.aim, g.b.now-10*ms)
+	if h.lat.mean <= limitAims {
+		t.Fatalf("mean %v, want one that is still over the target", h.lat.mean)
+	}
+	if h.limit < limit || h.restUntil != rest {
+		t.Errorf("limit %v, rest until %v after a good answer, want %v and %v", h.limit, h.restUntil, limit, rest)
+	}
+	g.b.now += ms
+	g.b.adjust(h, 6, g.b.aim, g.b.now)
+	if h.restUntil <= g.b.now {
+		t.Error("a late answer does not make it rest")
+	}
+}
+
 // serra incident ic8b233: hosts that turned all away at once, while the others
 // were at their limits, drew all that waited.
 func TestFullHostIsGivenLess(t *testing.T) {
