--- a/balancer.go
+++ b/balancer.go
@@ -51,7 +51,7 @@
 	pressWeight  = 1.0 / 8   // weight of an answer in that mean: few samples must do
 	pressDevs    = 1.0       // mean deviations by which it must pass the target: three standard errors
 	boundShare   = 8         // instances at a host from which the bound acts: each has part of an attempt
-	boundDecays  = 0.5       // time in which that bound grows by e, in decays: a cut for a moment is soon gone
+	boundDecays  = 0.5       // time in which that bound grows by e, in decays: a cut is soon gone
 	boundBurst   = 4         // sends that may be saved up under the bound
 	quotaBurst   = 1.0       // seconds of its quota a tenant may save up
 	repeatWorth  = 0.5       // worth of a client's repeat while others wait, as a share: it may come late
