--- a/internal/model/overlap_test.go
+++ b/internal/model/overlap_test.go
@@ -64,3 +64,25 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// A host that has just started and is slow besides is held to what its size and its coldness allow:
+// it guards against asking gateways for what they can't know before it has answered. What is too
+// much for a cold host is still seen.
+func TestSlownessIsNotColdness(t *testing.T) {
+	c := fleet(1)
+	h := &host{Kind: c.Hosts[0], up: true, slow: 18, started: 10 * time.Second}
+	w := &world{cfg: c, sum: &Summary{}, now: 10 * time.Second, longest: 0.02}
+	r := &request{work: 0.02}
+	for range 20 { // 0.4 s of work, of 1.2 s that are allowed at 0.3 of two cores, and slack
+		w.sentCold(h, r)
+	}
+	if n := w.sum.Broken[RuleCold]; n != 0 {
+		t.Errorf("%d times pushed over: %q", n, w.sum.Why)
+	}
+	for range 80 { // 2 s in all
+		w.sentCold(h, r)
+	}
+	if w.sum.Broken[RuleCold] == 0 {
+		t.Error("2 s of work within a second push a cold host over, and that is not seen")
+	}
+}
