--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -17,8 +17,10 @@
 	"syscall"
 	"time"
 
+	"lynxspool/internal/admin"
 	"lynxspool/internal/config"
 	"lynxspool/internal/engine"
+	"lynxspool/internal/fleet"
 	"lynxspool/internal/gateway"
 )
 
@@ -56,6 +58,7 @@
 		}
 	}
 	var g *gateway.Gateway
+	var part *fleet.Fleet // nil: this gateway stands alone
 	reload := func() error { return reloadAppliance(g, appliance) }
 	if appliance != "" {
 		a, wrong := config.LoadAppliance(appliance)
@@ -67,11 +70,22 @@
 		if err != nil {
 			return err
 		}
-		if g, err = gateway.StartAppliance(a, rc); err != nil {
+		var sources func(pool, addr string) gateway.Source
+		var about map[string]admin.Call
+		if a.Fleet != nil {
+			if part, err = fleet.Join(a); err != nil {
+				return err
+			}
+			if err := part.Start(); err != nil {
+				return err
+			}
+			sources, about = part.Source, part.Calls()
+		}
+		if g, err = gateway.StartAppliance(a, rc, sources); err != nil {
 			return err
 		}
 		if calls != nil {
-			g.Admin(calls)
+			g.Admin(calls, about)
 		}
 		slog.Info("serving", "name", a.Name, "listeners", len(a.Listeners), "pools", len(a.Pools), "routes", len(a.Routes))
 	} else {
@@ -93,12 +107,12 @@
 		}
 		g.ShareBy(os.TempDir(), func(part float64) { limitMemory(part * float64(cfg.MemoryMB)) })
 		if calls != nil {
-			g.Admin(calls)
+			g.Admin(calls, nil)
 		}
 		reload = func() error { return reloadPlatform(g, cfg) }
 		slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 	}
-	return run(g, reload, stop, hup, usr1)
+	return run(g, part, reload, stop, hup, usr1)
 }
 
 // operators opens the socket for operators' calls; nil where there is no address for one.
@@ -148,7 +162,7 @@
 
 // run serves until SIGTERM or SIGINT, and then ends in order. SIGHUP makes it read the
 // configuration anew, SIGUSR1 write out what the flight recorder holds.
-func run(g *gateway.Gateway, reload func() error, stop, hup, usr1 <-chan os.Signal) error {
+func run(g *gateway.Gateway, part *fleet.Fleet, reload func() error, stop, hup, usr1 <-chan os.Signal) error {
 	for {
 		select {
 		case err := <-g.Broken():
@@ -163,6 +177,9 @@
 			// From here on signals are left unread: neither SIGHUP nor a second
 			// SIGTERM may end the process with requests unanswered.
 			slog.Info("stopping", "signal", s.String())
+			if part != nil {
+				part.Leave() // its duties go on elsewhere while it answers what it has
+			}
 			g.Stop(recordedWithin)
 			slog.Info("stopped")
 			return nil
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -51,15 +52,26 @@
 type Server struct {
 	http http.Server
 
+	others map[string]Call
+
 	mu     sync.Mutex
 	silent list.List // connections that have brought no whole call yet, oldest first
 	places map[net.Conn]*list.Element
 	open   int
 }
 
-// New returns a Server that has calls carried out at a Target.
-func New(to Target) *Server {
-	s := &Server{places: map[net.Conn]*list.Element{}}
+// Call is one of a part that has calls of its own. Do may wait, until ctx ends at the latest.
+type Call struct {
+	Method string
+	Do     func(ctx context.Context, with url.Values) (status int, text, kind string)
+}
+
+// callMost is how long a Call may take: its caller still gets an answer then.
+const callMost = 4 * time.Second
+
+// New returns a Server that has calls carried out at a Target, and others by their paths.
+func New(to Target, others map[string]Call) *Server {
+	s := &Server{places: map[net.Conn]*list.Element{}, others: others}
 	s.http = http.Server{
 		Handler: s.calls(to), ConnState: s.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
@@ -118,7 +130,16 @@
 		s.heard(r.Context().Value(connKey{}).(net.Conn))
 		s.mu.Unlock()
 		status, text, kind := http.StatusNotFound, "no such call\n", ""
-		if c, ok := list[r.URL.Path]; ok {
+		if c, ok := s.others[r.URL.Path]; ok {
+			if r.Method == c.Method {
+				ctx, cancel := context.WithTimeout(r.Context(), callMost)
+				status, text, kind = c.Do(ctx, r.URL.Query())
+				cancel()
+			} else {
+				w.Header().Set("Allow", c.Method)
+				status, text = http.StatusMethodNotAllowed, "this call is by "+c.Method+"\n"
+			}
+		} else if c, ok := list[r.URL.Path]; ok {
 			if r.Method == c.method {
 				status, text = c.do()
 				kind = c.kind
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -26,7 +26,7 @@
 func serve(t *testing.T) (*target, string) {
 	ln := testkit.Listen(t, "127.0.0.1:0", nil)
 	to := &target{}
-	s := New(to)
+	s := New(to, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ctx, ln) }()
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,491 @@
+// Package cluster puts a gateway's part in a fleet together: its member, the disk, the carrier and
+// the duties that it holds. Requests are served without any of it.
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lynxspool/internal/cluster/disk"
+	"lynxspool/internal/cluster/duty"
+	"lynxspool/internal/cluster/guard"
+	"lynxspool/internal/cluster/lease"
+	"lynxspool/internal/cluster/member"
+	"lynxspool/internal/cluster/peer"
+	"lynxspool/internal/cluster/quorum"
+)
+
+// Config is a gateway's part in a fleet, as its file says.
+type Config struct {
+	ID, Name, Zone, Machine string
+	Listen                  string
+	DataDir                 string
+	Key                     []byte
+	First                   []string
+	Peers                   []Peer
+}
+
+// Peer is another gateway.
+type Peer struct{ Name, Address, Zone, Machine string }
+
+// Bounds and times.
+const (
+	// eventsMost bounds what waits for the loop; who brings more waits, and with him the
+	// connection that it came by.
+	eventsMost = 1024
+	// statusEvery is how old what is shown may be.
+	statusEvery = 200 * time.Millisecond
+	// asideMost is how many disks that can't be used are kept for whoever looks into it.
+	asideMost = 2
+	// reviveEvery is when a disk that was full is tried again.
+	reviveEvery = 5 * time.Second
+)
+
+// Fleet is a gateway's part in it.
+type Fleet struct {
+	cfg     Config
+	member  *member.Member
+	dir     *disk.Dir
+	disk    *disk.Disk
+	carrier *peer.Carrier
+	duties  *duty.Table
+	ln      net.Listener
+
+	events chan func()
+	writes chan *quorum.Batch
+	ctx    context.Context
+	cancel context.CancelFunc
+	all    sync.WaitGroup
+
+	hello  atomic.Pointer[member.Hello]
+	status atomic.Pointer[member.Status]
+	judge  atomic.Pointer[member.Member] // for Judge, which looks at what does not change
+
+	syncs prometheus.Histogram
+
+	// Of the loop.
+	waiting map[uint64]chan<- member.Done
+	shown   time.Duration
+	asked   bool // Status was, since shown
+	news    map[string]func(member.News)
+	wants   map[string]func(from string)
+	counts  counts
+	writing bool          // a batch is with the writer
+	halted  time.Duration // when the replica here was seen to have stopped; 0: it has not
+}
+
+// counts are of what a Fleet did, for the metrics.
+type counts struct {
+	changes, written, synced atomic.Uint64
+}
+
+// New opens a gateway's part: its directory and its listener. Nothing runs before Start.
+func New(cfg Config) (*Fleet, error) {
+	f := &Fleet{
+		cfg: cfg, events: make(chan func(), eventsMost), writes: make(chan *quorum.Batch, 1),
+		waiting: map[uint64]chan<- member.Done{}, news: map[string]func(member.News){}, wants: map[string]func(string){},
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.syncs = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "dunemoor_fleet_write_seconds", Help: "Time of a write to the fleet's log with its fsync.",
+		Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+	})
+	f.duties = duty.NewTable(func(name string, token uint64) {
+		f.post(func() { f.member.Released(duty.Now(), name, token) })
+	})
+	var err error
+	if f.dir, err = disk.OpenDir(cfg.DataDir); err != nil {
+		return nil, fmt.Errorf("fleet.data_dir: %w", err)
+	}
+	if f.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
+		f.dir.Close()
+		return nil, fmt.Errorf("fleet.listen: %w", err)
+	}
+	return f, nil
+}
+
+// Register names the work of a duty that this gateway can hold, and what is done with the news
+// that its owner sends, and as its owner with others' wish to be told all; these come one at a
+// time and must not wait. Before Start.
+func (f *Fleet) Register(name string, w duty.Work, news func(member.News), want func(from string)) {
+	f.duties.Register(name, w)
+	if news != nil {
+		f.news[name] = news
+	}
+	if want != nil {
+		f.wants[name] = want
+	}
+}
+
+// Start joins the fleet.
+func (f *Fleet) Start() error {
+	stored, err := f.open()
+	if err != nil {
+		f.ln.Close()
+		f.dir.Close()
+		return err
+	}
+	if err := f.join(stored); err != nil {
+		f.ln.Close()
+		f.dir.Close()
+		return err
+	}
+	peers := map[string]string{}
+	for _, p := range f.cfg.Peers {
+		peers[p.Name] = p.Address
+	}
+	f.carrier = peer.New(peer.Config{
+		Name: f.cfg.Name, Key: f.cfg.Key, Peers: peers,
+		Hello: func() member.Hello { return *f.hello.Load() },
+		Judge: func(h *member.Hello) string { return f.judge.Load().Judge(h) },
+	}, f.ln, (*handler)(f))
+	f.all.Go(f.loop)
+	f.all.Go(f.writer)
+	f.carrier.Start()
+	return nil
+}
+
+// open opens the disk. One that can't be trusted is set aside, and an empty one made: this
+// gateway is another replica from then on.
+func (f *Fleet) open() (map[quorum.Group]quorum.Stored, error) {
+	d, stored, err := disk.Open(f.dir, f.cfg.ID, f.cfg.Name, f.draw)
+	if errors.Is(err, disk.ErrCopy) || errors.Is(err, disk.ErrDamaged) {
+		slog.Warn("the disk is set aside, this gateway joins as a new replica", "dir", f.cfg.DataDir, "why", err.Error())
+		if err := f.setAside(); err != nil {
+			return nil, fmt.Errorf("fleet.data_dir: %w", err)
+		}
+		d, stored, err = disk.Open(f.dir, f.cfg.ID, f.cfg.Name, f.draw)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet.data_dir: %s: %w", f.cfg.DataDir, err)
+	}
+	f.disk = d
+	return stored, nil
+}
+
+// draw is for the identity of a new disk.
+func (f *Fleet) draw() uint64 {
+	if guard.Out(guard.Identity) {
+		h := fnv.New64a()
+		h.Write([]byte(f.cfg.Name))
+		return h.Sum64() | 2
+	}
+	return random()
+}
+
+func random() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // it never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// setAside moves the files of a disk into a directory beside them.
+func (f *Fleet) setAside() error {
+	names, err := f.dir.Names()
+	if err != nil {
+		return err
+	}
+	old, err := filepath.Glob(filepath.Join(f.cfg.DataDir, "aside-*"))
+	if err != nil {
+		return err
+	}
+	for len(old) >= asideMost {
+		if err := os.RemoveAll(old[0]); err != nil {
+			return err
+		}
+		old = old[1:]
+	}
+	to := "aside-" + time.Now().UTC().Format("20060102T150405.000000")
+	if err := os.Mkdir(filepath.Join(f.cfg.DataDir, to), 0o700); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if err := f.dir.Rename(name, filepath.Join(to, name)); err != nil {
+			return err
+		}
+	}
+	return f.dir.Sync()
+}
+
+// join makes the member on the disk that is open.
+func (f *Fleet) join(stored map[quorum.Group]quorum.Stored) error {
+	var names []string
+	for _, p := range f.cfg.Peers {
+		names = append(names, p.Name)
+	}
+	m, err := member.New(duty.Now(), member.Config{
+		Fleet: f.cfg.ID, Name: f.cfg.Name, Zone: f.cfg.Zone, Machine: f.cfg.Machine, Address: f.cfg.Listen, First: f.cfg.First,
+		Peers: names, Offers: f.duties.Names(), Seed: random(), Disk: f.disk.Identity(), Stored: stored,
+	})
+	if err != nil {
+		return err
+	}
+	f.member = m
+	f.judge.Store(m)
+	h := m.Hello()
+	f.hello.Store(&h)
+	f.status.Store(m.Status(duty.Now()))
+	slog.Info("fleet joined", "fleet", f.cfg.ID, "name", f.cfg.Name, "disk", h.Replica, "boots", h.Boots)
+	return nil
+}
+
+// post has the loop do something.
+func (f *Fleet) post(do func()) {
+	select {
+	case f.events <- do:
+	case <-f.ctx.Done():
+	}
+}
+
+// loop is the sole owner of the member.
+func (f *Fleet) loop() {
+	tick := time.NewTicker(member.TickEvery)
+	defer tick.Stop()
+	f.step()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case do := <-f.events:
+			do()
+			// What else has come is taken in the same turn: one write and one frame for it.
+			for range len(f.events) {
+				(<-f.events)()
+			}
+		case <-tick.C:
+			f.member.Tick(duty.Now())
+		}
+		f.step()
+	}
+}
+
+// step carries out what the member wants done.
+func (f *Fleet) step() {
+	o := f.member.Drain()
+	if o.Birth != 0 {
+		if err := f.disk.SetBirth(o.Birth); err != nil {
+			f.member.DiskFailed(duty.Now(), err)
+		}
+	}
+	// Before anything is sent that goes beyond it.
+	h := f.member.Hello()
+	f.hello.Store(&h)
+	if o.Write != nil {
+		f.writing = true
+		f.writes <- o.Write // the one before has been told as written
+	}
+	for i := range o.Sends {
+		f.carrier.Send(&o.Sends[i])
+	}
+	for _, d := range o.Done {
+		if c := f.waiting[d.ID]; c != nil {
+			delete(f.waiting, d.ID)
+			c <- d
+		}
+	}
+	if o.Held {
+		f.duties.Set(o.Holds)
+	}
+	for _, n := range o.News {
+		if take := f.news[n.Duty]; take != nil {
+			take(n)
+		}
+	}
+	for _, w := range o.Wants {
+		if tell := f.wants[w.Duty]; tell != nil {
+			tell(w.From)
+		}
+	}
+	for _, l := range o.Lines {
+		if l.Text == "duty changed hands" {
+			f.counts.changes.Add(1)
+		}
+		if l.Warn {
+			slog.Warn(l.Text, l.Args...)
+		} else {
+			slog.Info(l.Text, l.Args...)
+		}
+	}
+	now := duty.Now()
+	if now >= f.shown+statusEvery {
+		f.shown = now
+		f.status.Store(f.member.Status(now))
+	}
+	f.revive(now)
+}
+
+// revive brings a replica that has stopped back, where that can be: with an empty disk in place
+// of one that can't be trusted, and with the same once there is room on it again.
+func (f *Fleet) revive(now time.Duration) {
+	err := f.member.Halted()
+	if err == nil {
+		f.halted = 0
+		return
+	}
+	if f.halted == 0 {
+		f.halted = now
+	}
+	copied := errors.Is(err, disk.ErrCopy)
+	if f.writing || !copied && (!full(err) || now < f.halted+reviveEvery) {
+		return
+	}
+	f.halted = now
+	f.disk.Close()
+	if copied {
+		if err := f.setAside(); err != nil {
+			slog.Error("a disk that can't be trusted can't be set aside", "dir", f.cfg.DataDir, "err", err)
+			return
+		}
+	}
+	stored, err := f.open()
+	if err == nil {
+		err = f.join(stored)
+	}
+	if err != nil {
+		slog.Warn("the replica does not come back yet", "why", err.Error())
+		return
+	}
+	f.duties.Set(nil)
+	for id, c := range f.waiting {
+		delete(f.waiting, id)
+		c <- member.Done{ID: id}
+	}
+	f.carrier.Again()
+}
+
+// writer makes batches last, one at a time.
+func (f *Fleet) writer() {
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case b := <-f.writes:
+			m := f.judge.Load()
+			began := time.Now()
+			err := f.disk.Write(b)
+			f.syncs.Observe(time.Since(began).Seconds())
+			f.counts.written.Store(f.disk.Written)
+			f.counts.synced.Store(f.disk.Synced)
+			f.post(func() {
+				f.writing = false
+				if err != nil {
+					m.DiskFailed(duty.Now(), err)
+				} else {
+					m.Written(duty.Now(), b.ID)
+				}
+			})
+		}
+	}
+}
+
+// handler is the Fleet as it takes what comes from others.
+type handler Fleet
+
+func (h *handler) Greet(x member.Hello) {
+	f := (*Fleet)(h)
+	f.post(func() { f.member.Greet(duty.Now(), x) })
+}
+
+func (h *handler) Receive(from string, kind member.Kind, body []byte) {
+	f := (*Fleet)(h)
+	f.post(func() {
+		if err := f.member.Receive(duty.Now(), from, kind, body); err != nil {
+			f.carrier.Counts.Garbled.Add(1)
+			slog.Warn("a frame of the fleet can't be read", "gateway", from, "why", err.Error())
+		}
+	})
+}
+
+func (h *handler) Lost(to string) {
+	f := (*Fleet)(h)
+	f.post(func() { f.member.Lost(duty.Now(), to) })
+}
+
+func (h *handler) Snapshot(replica uint64, ok bool) {
+	f := (*Fleet)(h)
+	f.post(func() { f.member.Snapshot(duty.Now(), replica, ok) })
+}
+
+// Errors of commands.
+var (
+	// ErrUnknown is of a command whose outcome can't be told: it may have had its effect.
+	ErrUnknown = errors.New("what came of it is not known: the record could not be reached in time")
+	// ErrBusy is of a command that was not taken, as too many are out.
+	ErrBusy = errors.New("too many commands are out, nothing was done")
+)
+
+// Do has a command carried out in the record.
+func (f *Fleet) Do(ctx context.Context, c lease.Command) (lease.Result, error) {
+	done := make(chan member.Done, 1)
+	f.post(func() {
+		id := f.member.Ask(duty.Now(), c)
+		if id == 0 {
+			done <- member.Done{Known: true, Result: lease.Result{Code: busy}}
+			return
+		}
+		f.waiting[id] = done
+	})
+	select {
+	case d := <-done:
+		switch {
+		case !d.Known:
+			return lease.Result{}, ErrUnknown
+		case d.Result.Code == busy:
+			return lease.Result{}, ErrBusy
+		}
+		return d.Result, nil
+	case <-ctx.Done():
+	case <-f.ctx.Done():
+	}
+	return lease.Result{}, ErrUnknown
+}
+
+const busy lease.Code = "busy"
+
+// Tell has the owner of a duty tell all other gateways something, or the one that is named; seq
+// grows from one to the next.
+func (f *Fleet) Tell(to string, h *duty.Hold, seq uint64, body []byte) {
+	f.post(func() { f.member.Tell(duty.Now(), to, h.Duty, h.Token, seq, body) })
+}
+
+// Want asks the owner of a duty, where one is known, to tell us all that it has.
+func (f *Fleet) Want(name string) {
+	f.post(func() { f.member.Want(duty.Now(), name) })
+}
+
+// Status is how this gateway stands in the fleet, as of a moment ago.
+func (f *Fleet) Status() *member.Status { return f.status.Load() }
+
+// Leave ends the gateway's part in order: its duties are given to others.
+func (f *Fleet) Leave(most time.Duration) {
+	f.duties.Close()
+	ctx, cancel := context.WithTimeout(f.ctx, most)
+	defer cancel()
+	if f.Status().Session != 0 {
+		f.Do(ctx, lease.Command{Op: lease.Close}) // if it is not heard, the session lapses
+	}
+	f.Close()
+}
+
+// Close ends the gateway's part at once.
+func (f *Fleet) Close() {
+	f.cancel()
+	f.carrier.Close()
+	f.all.Wait()
+	f.duties.Close()
+	f.disk.Close()
+	f.dir.Close()
+}
--- a/internal/cluster/guard/none.go
+++ b/internal/cluster/guard/none.go
@@ -10,3 +10,6 @@
 
 // Take takes a guard out, where that can be; "" puts all back.
 func Take(Name) {}
+
+// Point is a place at which a test can have the process stop.
+func Point(string) {}
--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -104,9 +104,13 @@
 	Holds []Hold // where Held: all that are held now
 	Held  bool
 	News  []News
+	Wants []Asked
 	Lines []Line
 }
 
+// Asked is another gateway that wants to be told all of a duty that we own.
+type Asked struct{ From, Duty string }
+
 // Member is one gateway's part. It is used by one goroutine.
 type Member struct {
 	cfg  Config
@@ -127,7 +131,8 @@
 	replicas map[uint64]string
 	seen     map[uint64]*seen
 	welcomed map[uint64]bool
-	cleared  bool // enough of the others know nothing against our disk
+	words    map[string]*Welcome // ours on the others' last hellos
+	cleared  bool                // enough of the others know nothing against our disk
 
 	// Of the leader.
 	lead     bool
@@ -206,7 +211,7 @@
 	m := &Member{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Disk.Replica)), now: now, ticked: now,
 		node: quorum.New(cfg.Disk.Replica, cfg.Seed), st: lease.NewState(0), birth: cfg.Disk.Birth,
-		raft: map[string][]byte{}, hellos: map[string]Hello{}, replicas: map[uint64]string{}, seen: map[uint64]*seen{}, welcomed: map[uint64]bool{},
+		raft: map[string][]byte{}, hellos: map[string]Hello{}, replicas: map[uint64]string{}, seen: map[uint64]*seen{}, welcomed: map[uint64]bool{}, words: map[string]*Welcome{},
 		asked: map[uint64]asker{}, proposed: map[string]time.Duration{}, sent: map[uint64]time.Duration{},
 		holds: map[string]*Hold{}, resigned: map[string]uint64{}, fences: map[string]fence{}, offers: slices.Clone(cfg.Offers),
 		renewGap: lease.RenewEvery,
@@ -317,6 +322,7 @@
 	} else {
 		m.line(true, "another gateway has an older copy of its disk", "gateway", h.Name, "why", w.Object)
 	}
+	m.words[h.Name] = w
 	m.talk(h.Name, &Talk{Welcome: w})
 	m.found()
 }
@@ -480,8 +486,10 @@
 func (m *Member) hear(from string, t *Talk) {
 	switch {
 	case t.Hello != nil:
-		if t.Hello.Name == from {
-			m.Greet(m.now, *t.Hello)
+		// It waits for our word on the hello that came with its connection. This one is not
+		// judged: it may be late, and what was promised since would be held against it.
+		if w := m.words[from]; w != nil && w.Replica == t.Hello.Replica {
+			m.talk(from, &Talk{Welcome: w})
 		}
 	case t.Welcome != nil:
 		m.welcome(from, t.Welcome)
@@ -495,6 +503,10 @@
 		m.hearAnswer(from, t.Answer)
 	case t.News != nil:
 		m.hearNews(t.News)
+	case t.Want != nil:
+		if m.holds[t.Want.Duty] != nil {
+			m.out.Wants = append(m.out.Wants, Asked{from, t.Want.Duty})
+		}
 	}
 }
 
--- a/internal/cluster/member/session.go
+++ b/internal/cluster/member/session.go
@@ -320,18 +320,26 @@
 	m.renew()
 }
 
-// Tell has news of a duty sent to all other gateways that are known, as its owner. It says
-// nothing of who has got it.
-func (m *Member) Tell(now time.Duration, duty string, token, seq uint64, body []byte) {
+// Tell has news of a duty sent to all other gateways that are known, or to one, as its owner. It
+// says nothing of who has got it.
+func (m *Member) Tell(now time.Duration, to, duty string, token, seq uint64, body []byte) {
 	m.now = now
 	b := talkBytes(&Talk{News: &News{duty, token, seq, body}})
 	for _, name := range m.cfg.Peers {
-		if _, ok := m.hellos[name]; ok {
+		if _, ok := m.hellos[name]; ok && (to == "" || to == name) {
 			m.out.Sends = append(m.out.Sends, Send{To: name, Kind: KindTalk, Body: b})
 		}
 	}
 }
 
+// Want asks the owner of a duty, where one is known, for all that it has.
+func (m *Member) Want(now time.Duration, duty string) {
+	m.now = now
+	if d := m.view.duties[duty]; d.Holder != "" && d.Holder != m.cfg.Name {
+		m.talk(d.Holder, &Talk{Want: &Want{duty}})
+	}
+}
+
 // hearNews is the fence at a gateway: news under an older token than is known are an old owner's.
 func (m *Member) hearNews(n *News) {
 	f := m.fences[n.Duty]
--- a/internal/cluster/member/wire.go
+++ b/internal/cluster/member/wire.go
@@ -46,6 +46,12 @@
 	Ask     *Ask     `json:"ask,omitempty"`
 	Answer  *Answer  `json:"answer,omitempty"`
 	News    *News    `json:"news,omitempty"`
+	Want    *Want    `json:"want,omitempty"`
+}
+
+// Want asks the owner of a duty to tell all that it has.
+type Want struct {
+	Duty string `json:"duty"`
 }
 
 // Welcome is what a gateway has to say to another's Hello.
--- /dev/null
+++ b/internal/cluster/metrics.go
@@ -0,0 +1,54 @@
+package cluster
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics registers what is counted of this gateway's part.
+func (f *Fleet) Metrics(r prometheus.Registerer) {
+	counter := func(name, help string, from *atomic.Uint64) {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dunemoor_fleet_" + name, Help: help}, func() float64 { return float64(from.Load()) }))
+	}
+	gauge := func(name, help string, value func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "dunemoor_fleet_" + name, Help: help}, value))
+	}
+	c := &f.carrier.Counts
+	counter("frames_sent_total", "Frames sent to other gateways.", &c.Sent)
+	counter("frame_bytes_sent_total", "Bytes of frames sent to other gateways.", &c.SentBytes)
+	counter("frames_received_total", "Frames that came from other gateways.", &c.Received)
+	counter("frames_lost_total", "Frames not sent: their gateway was away, or too much waited for it.", &c.Lost)
+	counter("frames_garbled_total", "Frames that could not be read; their connection was ended.", &c.Garbled)
+	counter("connections_refused_total", "Connections refused, by us or by the other side: key, fleet, format, name.", &c.Refused)
+	counter("connections_total", "Connections made to other gateways.", &c.Connects)
+	counter("snapshots_sent_total", "Snapshots of the record sent whole.", &c.Snapshots)
+	counter("duty_changes_total", "Changes of hands of duties, as the leader of the record saw them.", &f.counts.changes)
+	gauge("term", "The record's term as known here.", func() float64 { return float64(f.Status().Term) })
+	gauge("commit_index", "Index up to which the record is committed, as known here.", func() float64 { return float64(f.Status().Commit) })
+	gauge("applied_index", "Index up to which the record is applied here.", func() float64 { return float64(f.Status().Applied) })
+	gauge("leader", "1 where this gateway leads the record.", func() float64 {
+		if f.Status().Role == "leader" {
+			return 1
+		}
+		return 0
+	})
+	gauge("session", "1 where this gateway has a session with its fleet.", func() float64 {
+		if f.Status().Session != 0 {
+			return 1
+		}
+		return 0
+	})
+	gauge("duties_held", "Duties that this gateway owns.", func() float64 {
+		s, n := f.Status(), 0
+		for _, d := range s.Duties {
+			if d.Owner == s.Name {
+				n++
+			}
+		}
+		return float64(n)
+	})
+	counter("disk_bytes_written_total", "Bytes written to the fleet's log.", &f.counts.written)
+	counter("disk_syncs_total", "Fsyncs of the fleet's log.", &f.counts.synced)
+	r.MustRegister(f.syncs)
+}
--- a/internal/cluster/sim/nemesis.go
+++ b/internal/cluster/sim/nemesis.go
@@ -151,6 +151,7 @@
 // the bound.
 func Play(o Options, faults time.Duration) (*World, error) {
 	w := New(o)
+	w.trace = o.Trace
 	for _, n := range w.Nodes {
 		n.Start()
 	}
--- a/internal/cluster/sim/sim_test.go
+++ b/internal/cluster/sim/sim_test.go
@@ -11,6 +11,7 @@
 var (
 	seeds = flag.Int("seeds", 40, "how many seeds are played")
 	first = flag.Uint64("seed", 1, "the first seed")
+	trace = flag.Bool("story", false, "print what happens, for one seed")
 )
 
 // each plays seeds on all cores.
@@ -37,7 +38,9 @@
 // draws: what must never be is checked at each step, and all is whole in time after the last.
 func TestFleets(t *testing.T) {
 	each(t, *seeds, func(seed uint64) error {
-		w, err := Play(Mixed(seed), 30*time.Second)
+		o := Mixed(seed)
+		o.Trace = *trace
+		w, err := Play(o, 30*time.Second)
 		if testing.Verbose() && err == nil {
 			t.Logf("seed %d: %d frames, %d acts, %d of old owners refused, %d lapses, %d commands, %d halted", seed, w.Frames, w.acts, w.Hosts.refused, w.Lapses, w.Commands(), w.Halted())
 		}
--- a/internal/cluster/sim/world.go
+++ b/internal/cluster/sim/world.go
@@ -29,6 +29,7 @@
 	Clients int // gateways that claim and give back locks all the while
 	// ActEvery is the mean time between two acts of an owner; 0: a quarter of a second.
 	ActEvery time.Duration
+	Trace    bool // what happens is printed
 }
 
 // Delays of the network and of a disk, by chance between the two.
@@ -109,7 +110,7 @@
 	summed  uint64
 	aside   bool
 	doubt   uint64 // the identity of a disk that was put back
-	ended   error // why it could not start
+	ended   error  // why it could not start
 }
 
 type event struct {
--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -30,6 +30,7 @@
 	Pools     []Pool
 	Routes    []Route
 	Table     *route.Table // of Routes, in their order
+	Fleet     *Fleet       // nil: it stands alone
 }
 
 // Limits are what the process may use.
@@ -166,6 +167,7 @@
 		Name   string
 		Weight float64
 	}
+	Fleet    *fleetFile
 	Listener []struct {
 		Name, Address, Protocol string
 		Trusted                 []string
@@ -220,6 +222,16 @@
 	}
 }
 
+// fleetFile is the form of the fleet's part.
+type fleetFile struct {
+	ID      string
+	Listen  string
+	DataDir string `toml:"data_dir"`
+	KeyFile string `toml:"key_file"`
+	First   []string
+	Peer    []struct{ Name, Address, Zone, Machine string }
+}
+
 // headersFile are the rules for the headers one way.
 type headersFile struct {
 	Set, Add map[string]string
@@ -346,6 +358,7 @@
 	c.classes(a, &f)
 	c.pools(a, &f)
 	c.routes(a, &f)
+	c.fleet(a, f.Fleet)
 	if len(c.wrong) > 0 {
 		return nil, c.wrong
 	}
@@ -474,14 +487,17 @@
 
 // name notes an error where a name could not stand in a log, a file name or a terminal as it
 // is. An empty one is said by the caller.
-func (c *checker) name(table string, n int, name string) {
+func (c *checker) name(table string, n int, name string) { c.nameAt(table, n, "name", name) }
+
+// nameAt is name for one that stands at another key.
+func (c *checker) nameAt(table string, n int, key, name string) {
 	if len(name) > nameMost {
-		c.bad(table, n, "name", "is longer than %d characters", nameMost)
+		c.bad(table, n, key, "is longer than %d characters", nameMost)
 		return
 	}
 	for _, r := range name {
 		if !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.:[]", r)) {
-			c.bad(table, n, "name", "%q has %q in it: letters, digits, '-', '_', '.' and ':' only", name, r)
+			c.bad(table, n, key, "%q has %q in it: letters, digits, '-', '_', '.' and ':' only", name, r)
 			return
 		}
 	}
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,117 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+)
+
+// Fleet is a gateway's part in a fleet.
+type Fleet struct {
+	ID      string
+	Listen  string // where other gateways connect
+	DataDir string
+	KeyFile string
+	First   []string // gateways that hold the fleet's record at first
+	Peers   []FleetPeer
+	Zone    string // of this gateway
+	Machine string
+}
+
+// FleetPeer is another gateway of the fleet.
+type FleetPeer struct{ Name, Address, Zone, Machine string }
+
+// Bounds of the fleet's part.
+const (
+	maxPeers  = 1023 // with this gateway as many as a fleet's record has place for
+	firstMost = 9    // each that holds the record costs every change a message
+	keyLeast  = 32   // bytes: as long as what is made of it
+	keyMost   = 4096
+)
+
+// fleet checks the fleet's part.
+func (c *checker) fleet(a *Appliance, f *fleetFile) {
+	if f == nil {
+		return
+	}
+	out := &Fleet{ID: f.ID, Listen: f.Listen, DataDir: f.DataDir, KeyFile: f.KeyFile, First: f.First}
+	bad := func(key, format string, args ...any) { c.bad("fleet", 0, key, format, args...) }
+	if f.ID == "" {
+		bad("id", "is missing: what the fleet is called, the same at all its gateways")
+	}
+	c.nameAt("fleet", 0, "id", f.ID)
+	if !hostPort(f.Listen, 1) {
+		bad("listen", "%q is no address like \"10.0.0.4:7400\"", f.Listen)
+	}
+	if !strings.HasPrefix(f.DataDir, "/") {
+		bad("data_dir", "%q is no path from the root", f.DataDir)
+	}
+	if f.KeyFile == "" {
+		bad("key_file", "is missing: a file with the key that the fleet's gateways share")
+	}
+	known := map[string]int{}
+	if len(f.Peer) > maxPeers {
+		c.bad("fleet.peer", maxPeers, "", "more than %d", maxPeers)
+	}
+	at := map[string]string{}
+	for i, p := range f.Peer {
+		c.name("fleet.peer", i, p.Name)
+		first, taken := known[p.Name]
+		switch {
+		case p.Name == "":
+			c.bad("fleet.peer", i, "name", "is missing")
+		case taken:
+			c.bad("fleet.peer", i, "name", "%q is taken (line %d)", p.Name, c.Line("fleet.peer", first, "name"))
+		}
+		known[p.Name] = i
+		if p.Name == a.Name {
+			out.Zone, out.Machine = p.Zone, p.Machine // all gateways may have the same list
+			continue
+		}
+		if !hostPort(p.Address, 1) {
+			c.bad("fleet.peer", i, "address", "%q is no host:port", p.Address)
+		} else if other := at[p.Address]; other != "" {
+			c.bad("fleet.peer", i, "address", "%q is that of %s", p.Address, other)
+		}
+		at[p.Address] = p.Name
+		out.Peers = append(out.Peers, FleetPeer(p))
+	}
+	switch {
+	case len(f.First) == 0:
+		bad("first", "is missing: the gateways that hold the fleet's record at first; three or five, as most of them have to be up")
+	case len(f.First) > firstMost:
+		bad("first", "%d gateways, %d at most", len(f.First), firstMost)
+	}
+	for i, name := range f.First {
+		if _, ok := known[name]; !ok && name != a.Name {
+			bad("first", "%q is neither a peer nor this gateway", name)
+		}
+		if slices.Contains(f.First[:i], name) {
+			bad("first", "%q is there twice", name)
+		}
+	}
+	a.Fleet = out
+}
+
+// ReadKey reads the key that a fleet's gateways share.
+func ReadKey(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.key_file: %w", err)
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, fmt.Errorf("fleet.key_file: %s: others than its owner may use it (mode %04o): chmod 600", path, info.Mode().Perm())
+	}
+	if info.Size() > keyMost {
+		return nil, fmt.Errorf("fleet.key_file: %s: %d bytes, %d at most", path, info.Size(), keyMost)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.key_file: %w", err)
+	}
+	if b = []byte(strings.TrimSpace(string(b))); len(b) < keyLeast {
+		return nil, fmt.Errorf("fleet.key_file: %s: %d bytes, %d at least: head -c 32 /dev/urandom | base64", path, len(b), keyLeast)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,130 @@
+// Package fleet is a gateway's part in a fleet as the program uses it: the duties that are of use
+// to a gateway, the operators' calls and what is counted. The record and its keeping are of
+// internal/cluster.
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"lynxspool/internal/cluster"
+	"lynxspool/internal/cluster/duty"
+	"lynxspool/internal/cluster/lease"
+	"lynxspool/internal/config"
+	"lynxspool/internal/discovery"
+	"lynxspool/internal/gateway"
+)
+
+// Fleet is a gateway's part.
+type Fleet struct {
+	c      *cluster.Fleet
+	lists  map[string]*list // by pool
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Join opens a gateway's part by its file, with the duties of its pools. It runs from Start on.
+func Join(a *config.Appliance) (*Fleet, error) {
+	key, err := config.ReadKey(a.Fleet.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	cfg := cluster.Config{
+		ID: a.Fleet.ID, Name: a.Name, Zone: a.Fleet.Zone, Machine: a.Fleet.Machine, Listen: a.Fleet.Listen,
+		DataDir: a.Fleet.DataDir, Key: key, First: a.Fleet.First,
+	}
+	for _, p := range a.Fleet.Peers {
+		cfg.Peers = append(cfg.Peers, cluster.Peer(p))
+	}
+	c, err := cluster.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{c: c, lists: map[string]*list{}}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	c.Register(housekeeping, f.keepHouse, nil, nil)
+	for _, p := range a.Pools {
+		if p.Discovery == "" {
+			continue
+		}
+		l := &list{f: f, pool: p.Name, addr: p.Discovery, name: listPrefix + p.Name, inbox: make(chan func(*listening), inboxMost)}
+		f.lists[p.Name] = l
+		c.Register(l.name, l.work, l.news, l.want)
+	}
+	return f, nil
+}
+
+// Start joins the fleet.
+func (f *Fleet) Start() error { return f.c.Start() }
+
+// Source is the source of a pool's members. One that has come since the start, or whose address
+// has changed, is watched from here.
+func (f *Fleet) Source(pool, addr string) gateway.Source {
+	if l := f.lists[pool]; l != nil && l.addr == addr {
+		return l
+	}
+	return discovery.NewWatcher(addr, false, 0)
+}
+
+// leaveMost is how long the end waits for the fleet to hear of it; without, the session lapses.
+const leaveMost = time.Second
+
+// Leave ends the gateway's part in order.
+func (f *Fleet) Leave() {
+	f.cancel()
+	f.c.Leave(leaveMost)
+}
+
+// housekeeping is the duty to forget what has long gone.
+const housekeeping = "housekeeping"
+
+const (
+	// houseEvery lies between two looks, forgetAfter is how long a gateway without a session, or
+	// a duty that nobody offers, is still shown.
+	houseEvery  = 10 * time.Second
+	forgetAfter = 15 * time.Minute
+)
+
+// keepHouse is the work of housekeeping.
+func (f *Fleet) keepHouse(ctx context.Context, h *duty.Hold) {
+	gone := map[string]time.Duration{}
+	tick := time.NewTicker(houseEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s, now := f.c.Status(), duty.Now()
+		away := map[string]bool{}
+		for _, m := range s.Members {
+			away[m.Name] = m.Session == 0
+		}
+		for _, d := range s.Duties {
+			away[d.Name] = d.Owner == ""
+		}
+		for name, is := range away {
+			if !is {
+				delete(gone, name)
+			} else if gone[name] == 0 {
+				gone[name] = now
+			}
+		}
+		for name, since := range gone {
+			if _, known := away[name]; !known {
+				delete(gone, name)
+				continue
+			}
+			if now < since+forgetAfter || !h.May() {
+				continue
+			}
+			gone[name] = now
+			r, err := f.c.Do(ctx, lease.Command{Op: lease.Forget, Duty: housekeeping, Token: h.Token, Name: name})
+			if err == nil && r.Code == lease.OK {
+				slog.Info("forgotten by the fleet", "name", name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/metrics.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/common/expfmt"
+)
+
+// metrics answers a scraper, in the text format of Prometheus.
+func (f *Fleet) metrics() func(context.Context, url.Values) (int, string, string) {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	f.c.Metrics(r)
+	for pool, l := range f.lists {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "dunemoor_discovery_watches_total", Help: "Watches of discovery begun from this gateway, of a pool whose list the fleet tells.",
+			ConstLabels: prometheus.Labels{"pool": pool},
+		}, func() float64 { return float64(l.calls.Load()) }))
+	}
+	return func(context.Context, url.Values) (int, string, string) {
+		all, err := r.Gather()
+		if err != nil {
+			return http.StatusInternalServerError, err.Error() + "\n", ""
+		}
+		var b bytes.Buffer
+		format := expfmt.NewFormat(expfmt.TypeTextPlain)
+		e := expfmt.NewEncoder(&b, format)
+		for _, m := range all {
+			if err := e.Encode(m); err != nil {
+				return http.StatusInternalServerError, err.Error() + "\n", ""
+			}
+		}
+		return http.StatusOK, b.String(), string(format)
+	}
+}
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -45,6 +45,7 @@
 type box struct {
 	file      *config.Appliance
 	recording *engine.RecordingConfig
+	sources   func(pool, discovery string) Source
 	pools     map[string]*boxPool
 	listeners map[string]net.Listener // by address as the file has it
 }
@@ -63,6 +64,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	settings  lynxspool.Settings
+	sources   func(pool, discovery string) Source
 	source    context.CancelFunc // ends the source of members
 	sink      *atomic.Pointer[feed]
 }
@@ -85,11 +87,20 @@
 	}
 }
 
-// StartAppliance serves by a file. Nothing is left behind where it fails.
-func StartAppliance(a *config.Appliance, rc *engine.RecordingConfig) (*Gateway, error) {
+// Source tells a pool of its members until ctx ends.
+type Source interface {
+	Run(ctx context.Context, to discovery.Sink)
+}
+
+// StartAppliance serves by a file. Nothing is left behind where it fails. Where sources is not
+// nil, it makes the source of a pool whose members a discovery service tells.
+func StartAppliance(a *config.Appliance, rc *engine.RecordingConfig, sources func(pool, discovery string) Source) (*Gateway, error) {
 	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryOf(a.Limits.MemoryMB), http1.Options{Longest: longest(a), Plain: true, Head: a.Limits.HeadKB << 10})
 	g.gate.HeadersMost = a.Limits.Headers
-	g.box = &box{recording: rc, pools: map[string]*boxPool{}, listeners: map[string]net.Listener{}}
+	if sources == nil {
+		sources = func(_, addr string) Source { return discovery.NewWatcher(addr, false, 0) }
+	}
+	g.box = &box{recording: rc, sources: sources, pools: map[string]*boxPool{}, listeners: map[string]net.Listener{}}
 	g.limits(a)
 	go g.engine.Run(g.ctx)
 	if g.engine.Overload != nil {
@@ -315,7 +326,7 @@
 
 // newPool makes a pool that has no members yet.
 func (g *Gateway) newPool(a *config.Appliance, cfg config.Pool, set lynxspool.Settings, names []string) (*boxPool, error) {
-	p := &boxPool{cfg: cfg, settings: set, source: func() {}, sink: new(atomic.Pointer[feed])}
+	p := &boxPool{cfg: cfg, settings: set, sources: g.box.sources, source: func() {}, sink: new(atomic.Pointer[feed])}
 	if cfg.Protocol == config.FastCGI {
 		p.transport = responders.New(responders.Options{Budget: g.gate.Bodies, Root: cfg.Root, Params: cfg.Params})
 	} else {
@@ -371,7 +382,7 @@
 		}
 		go discovery.NewFile(cfg.File).Run(ctx, f)
 	case cfg.Discovery != "":
-		go discovery.NewWatcher(cfg.Discovery, false, 0).Run(ctx, f)
+		go p.sources(cfg.Name, cfg.Discovery).Run(ctx, f)
 		if must {
 			select {
 			case <-f.told:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -271,10 +271,10 @@
 	}
 }
 
-// Admin answers the calls of operators on ln.
-func (g *Gateway) Admin(ln net.Listener) {
+// Admin answers the calls of operators on ln, with those of other parts by their paths.
+func (g *Gateway) Admin(ln net.Listener, others map[string]admin.Call) {
 	go func() {
-		if err := admin.New(g).Serve(g.ctx, ln); err != nil {
+		if err := admin.New(g, others).Serve(g.ctx, ln); err != nil {
 			select {
 			case g.broken <- fmt.Errorf("admin: %s: %w", ln.Addr(), err):
 			default: // another has said so
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -19,7 +19,7 @@
 	g := startAppliance(t, strings.Replace(head, "[[listener]]", "[limits.client]\nrate = 0.001\nburst = 3.0\n[[listener]]", 1)+
 		poolText("p", "", host.Addr())+routeText("r", "pool = \"p\"\nclass = \"lookup\"\nmax_body = \"1MiB\""))
 	ln := testkit.Listen(t, "127.0.0.1:0", nil)
-	g.Admin(ln)
+	g.Admin(ln, nil)
 	status := func() (s Status) {
 		t.Helper()
 		resp, text := fetch(t, "GET", "http://"+ln.Addr().String()+"/admin/status", "")
--- /dev/null
+++ b/internal/nemesis/fleet.go
@@ -0,0 +1,488 @@
+package nemesis
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lynxspool/internal/standin"
+)
+
+// Options are what a fleet of processes is made of.
+type Options struct {
+	Bin      string // the program
+	Dir      string // for files, disks and logs
+	Gateways int
+	Keepers  int // that hold the record at first
+	Nodes    int // stand-in hosts, told by a stand-in of discovery
+	Seed     uint64
+	Env      []string
+}
+
+// Status is what of a gateway's own account of the fleet is checked here.
+type Status struct {
+	ID      string `json:"id"`
+	Name    string `json:"name"`
+	Disk    uint64 `json:"disk"`
+	Role    string `json:"role"`
+	Why     string `json:"why"`
+	Leader  string `json:"leader"`
+	Term    uint64 `json:"term"`
+	Commit  uint64 `json:"commit"`
+	Applied uint64 `json:"applied"`
+	Session uint64 `json:"session"`
+	Members []struct {
+		Name    string `json:"name"`
+		Session uint64 `json:"session"`
+	} `json:"members"`
+	Duties []struct {
+		Name  string `json:"name"`
+		Owner string `json:"owner"`
+		Token uint64 `json:"token"`
+		Since uint64 `json:"since"`
+	} `json:"duties"`
+	Keepers []struct {
+		Replica uint64 `json:"replica"`
+		Name    string `json:"name"`
+		Learner bool   `json:"learner"`
+	} `json:"keepers"`
+}
+
+// Gateway is one of the fleet's, with its machine's files.
+type Gateway struct {
+	Name   string
+	f      *Fleet
+	dir    string
+	listen string // for clients
+	admin  string
+	fleet  string // for other gateways
+	file   string
+
+	mu      sync.Mutex
+	process *Process
+	stopped bool
+}
+
+// Fleet is several processes of the program with all that is round them.
+type Fleet struct {
+	Options
+	Gateways []*Gateway
+	Hosts    *standin.Fleet
+	History  *History
+	relays   map[[2]int]*Relay
+	log      *os.File
+	client   http.Client
+}
+
+// key is the fleet's, of the test's own making.
+const key = "this key is of a test and of nothing else"
+
+// reserve finds free ports of the loopback, held until all are found.
+func reserve(n int) ([]string, error) {
+	var list []string
+	var held []net.Listener
+	defer func() {
+		for _, ln := range held {
+			ln.Close()
+		}
+	}()
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		held = append(held, ln)
+		list = append(list, ln.Addr().String())
+	}
+	return list, nil
+}
+
+// New lays out a fleet: files, relays, hosts and discovery. No gateway is started.
+func New(o Options) (*Fleet, error) {
+	f := &Fleet{Options: o, relays: map[[2]int]*Relay{}, client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	var err error
+	if f.log, err = os.Create(filepath.Join(o.Dir, "log")); err != nil {
+		return nil, err
+	}
+	if f.History, err = NewHistory(filepath.Join(o.Dir, "history.jsonl")); err != nil {
+		return nil, err
+	}
+	if f.Hosts, err = standin.StartFleet(o.Nodes, o.Seed, standin.Behaviour{Work: 2 * time.Millisecond, Cores: 8}); err != nil {
+		return nil, err
+	}
+	ports, err := reserve(3 * o.Gateways)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(filepath.Join(o.Dir, "key"), []byte(key), 0o600); err != nil {
+		return nil, err
+	}
+	for i := range o.Gateways {
+		g := &Gateway{Name: fmt.Sprintf("g%d", i+1), f: f, listen: ports[3*i], admin: ports[3*i+1], fleet: ports[3*i+2]}
+		g.dir = filepath.Join(o.Dir, g.Name)
+		g.file = filepath.Join(o.Dir, g.Name+".toml")
+		f.Gateways = append(f.Gateways, g)
+	}
+	for i, g := range f.Gateways {
+		for k, other := range f.Gateways {
+			if i == k {
+				continue
+			}
+			if f.relays[[2]int{i, k}], err = NewRelay(other.fleet); err != nil {
+				return nil, err
+			}
+		}
+		if err := os.WriteFile(g.file, []byte(f.text(i)), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// text is the file of a gateway.
+func (f *Fleet) text(i int) string {
+	g := f.Gateways[i]
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\nadmin = %q\n[[listener]]\naddress = %q\n", g.Name, g.admin, g.listen)
+	for _, c := range standin.Classes() {
+		effect := [...]string{"safe", "keyed", "unsafe"}[c.Effect]
+		fmt.Fprintf(&b, "[[class]]\nname = %q\neffect = %q\naim = \"2s\"\ndeadline = \"10s\"\nworth = 1\n", c.Name, effect)
+		if c.Window > 0 {
+			fmt.Fprintf(&b, "group = \"cell\"\nwindow = %q\n", c.Window)
+		}
+	}
+	fmt.Fprintf(&b, "[[pool]]\nname = \"calendar\"\ndiscovery = %q\n[[route]]\nname = \"all\"\npool = \"calendar\"\n", f.Hosts.Discovery.Addr())
+	var first []string
+	for _, o := range f.Gateways[:f.Keepers] {
+		first = append(first, fmt.Sprintf("%q", o.Name))
+	}
+	fmt.Fprintf(&b, "[fleet]\nid = \"trial\"\nlisten = %q\ndata_dir = %q\nkey_file = %q\nfirst = [%s]\n",
+		g.fleet, g.dir, filepath.Join(f.Dir, "key"), strings.Join(first, ", "))
+	for k, o := range f.Gateways {
+		if k != i {
+			fmt.Fprintf(&b, "[[fleet.peer]]\nname = %q\naddress = %q\n", o.Name, f.relays[[2]int{i, k}].Addr())
+		}
+	}
+	return b.String()
+}
+
+// Start starts a gateway's process.
+func (g *Gateway) Start() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process != nil {
+		return fmt.Errorf("%s runs already", g.Name)
+	}
+	p, err := StartProcess(g.Name, g.f.Bin, []string{"--appliance", g.file}, g.f.Env, g.f.log, func(line string) { g.f.History.heard(g.Name, line) })
+	if err != nil {
+		return err
+	}
+	g.process, g.stopped = p, false
+	g.f.History.fault("start", g.Name)
+	return nil
+}
+
+// Kill ends a gateway's process at once.
+func (g *Gateway) Kill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process != nil {
+		g.f.History.fault("kill", g.Name)
+		g.process.Kill()
+		g.process, g.stopped = nil, false
+	}
+}
+
+// Stop stops a gateway's process where it is.
+func (g *Gateway) Stop() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process == nil || g.stopped {
+		return nil
+	}
+	g.f.History.fault("stop", g.Name)
+	g.stopped = true
+	return g.process.Stop()
+}
+
+// Continue has it go on.
+func (g *Gateway) Continue() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process == nil || !g.stopped {
+		return nil
+	}
+	g.f.History.fault("continue", g.Name)
+	g.stopped = false
+	return g.process.Continue()
+}
+
+// Terminate ends a gateway in order and returns its exit code.
+func (g *Gateway) Terminate(most time.Duration) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process == nil {
+		return 0, errors.New("it does not run")
+	}
+	g.f.History.fault("terminate", g.Name)
+	p := g.process
+	if err := p.Terminate(); err != nil {
+		return 0, err
+	}
+	select {
+	case <-p.Ended():
+		g.process = nil
+		return p.Code(), nil
+	case <-time.After(most):
+		return 0, fmt.Errorf("%s has not ended %v after SIGTERM", g.Name, most)
+	}
+}
+
+// Runs says whether a gateway's process runs and is not stopped.
+func (g *Gateway) Runs() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.process != nil && !g.stopped
+}
+
+// Crashed says whether a gateway's process has ended by itself.
+func (g *Gateway) Crashed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process == nil {
+		return false
+	}
+	select {
+	case <-g.process.Ended():
+		return true
+	default:
+		return false
+	}
+}
+
+// Wipe empties the disk of a gateway that is down.
+func (g *Gateway) Wipe() error {
+	g.f.History.fault("wipe", g.Name)
+	return os.RemoveAll(g.dir)
+}
+
+// Copy keeps a copy of the disk as it is, and Restore puts it in the disk's place.
+func (g *Gateway) Copy() error {
+	os.RemoveAll(g.dir + ".copy")
+	return os.CopyFS(g.dir+".copy", os.DirFS(g.dir))
+}
+
+// Restore puts the copy that was kept in the place of the disk, of a gateway that is down.
+func (g *Gateway) Restore() error {
+	g.f.History.fault("restore", g.Name)
+	if err := os.RemoveAll(g.dir); err != nil {
+		return err
+	}
+	return os.CopyFS(g.dir, os.DirFS(g.dir+".copy"))
+}
+
+// URL is where clients ask.
+func (g *Gateway) URL() string { return "http://" + g.listen }
+
+// Status is a gateway's own account of the fleet.
+func (g *Gateway) Status() (*Status, error) {
+	resp, err := g.f.client.Get("http://" + g.admin + "/admin/fleet")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	s := &Status{}
+	if err := json.NewDecoder(resp.Body).Decode(s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Call is an operator's call at a gateway, like "move?duty=..&to=..".
+func (g *Gateway) Call(what string, with url.Values) (int, string, error) {
+	resp, err := g.f.client.Post("http://"+g.admin+"/admin/fleet/"+what+"?"+with.Encode(), "", nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// Cut holds back all that goes from one gateway to another, or lets it go on.
+func (f *Fleet) Cut(from, to *Gateway, on bool) {
+	what := "heal"
+	if on {
+		what = "cut"
+	}
+	f.History.fault(what, from.Name, to.Name)
+	f.relays[[2]int{slices.Index(f.Gateways, from), slices.Index(f.Gateways, to)}].Cut(on)
+}
+
+// Relay is the way from one gateway to another.
+func (f *Fleet) Relay(from, to *Gateway) *Relay {
+	return f.relays[[2]int{slices.Index(f.Gateways, from), slices.Index(f.Gateways, to)}]
+}
+
+// Alone cuts a gateway off, both ways or one.
+func (f *Fleet) Alone(g *Gateway, out, in bool) {
+	for _, o := range f.Gateways {
+		if o != g && out {
+			f.Cut(g, o, true)
+		}
+		if o != g && in {
+			f.Cut(o, g, true)
+		}
+	}
+}
+
+// Heal ends all faults and starts who is down.
+func (f *Fleet) Heal() error {
+	f.History.fault("heal all")
+	for _, r := range f.relays {
+		r.Heal()
+	}
+	for _, g := range f.Gateways {
+		if err := g.Continue(); err != nil {
+			return err
+		}
+		g.mu.Lock()
+		down := g.process == nil
+		g.mu.Unlock()
+		if down {
+			if err := g.Start(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Poll is how often conditions are looked at.
+const Poll = 20 * time.Millisecond
+
+// Until waits for a condition, and says what was waited for in vain.
+func (f *Fleet) Until(ctx context.Context, what string, most time.Duration, ok func() bool) error {
+	for end := time.Now().Add(most); !ok(); {
+		if time.Now().After(end) {
+			return fmt.Errorf("gave up after %v waiting: %s", most, what)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(Poll):
+		}
+	}
+	return nil
+}
+
+// Whole says whether the fleet is as it should be: all have a session and the same view of who
+// owns what, each duty has an owner, the keepers are as many as at first.
+func (f *Fleet) Whole() bool {
+	owners := ""
+	for _, g := range f.Gateways {
+		if !g.Runs() {
+			return false
+		}
+		s, err := g.Status()
+		if err != nil || s.Session == 0 || s.Leader == "" || len(s.Members) < len(f.Gateways) || len(s.Duties) == 0 || len(s.Keepers) != f.Keepers {
+			return false
+		}
+		for _, m := range s.Members {
+			if m.Session == 0 {
+				return false
+			}
+		}
+		for _, k := range s.Keepers {
+			if k.Learner {
+				return false
+			}
+		}
+		view := s.Leader
+		for _, d := range s.Duties {
+			if d.Owner == "" {
+				return false
+			}
+			view += fmt.Sprintf(" %s=%s/%d", d.Name, d.Owner, d.Token)
+		}
+		if owners == "" {
+			owners = view
+		}
+		if view != owners {
+			return false
+		}
+	}
+	return true
+}
+
+// Owner is who owns a duty, by the account of whoever answers; nil: nobody that is known.
+func (f *Fleet) Owner(duty string) *Gateway {
+	for _, g := range f.Gateways {
+		if !g.Runs() {
+			continue
+		}
+		if s, err := g.Status(); err == nil && s.Session != 0 {
+			for _, d := range s.Duties {
+				if d.Name == duty {
+					return f.named(d.Owner)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// Leader is who leads the record by its own account; nil: nobody.
+func (f *Fleet) Leader() *Gateway {
+	for _, g := range f.Gateways {
+		if g.Runs() {
+			if s, err := g.Status(); err == nil && s.Role == "leader" {
+				return g
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) named(name string) *Gateway {
+	i := slices.IndexFunc(f.Gateways, func(g *Gateway) bool { return g.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return f.Gateways[i]
+}
+
+// Close ends all that was started here, and nothing else.
+func (f *Fleet) Close() {
+	for _, g := range f.Gateways {
+		g.Kill()
+	}
+	for _, r := range f.relays {
+		r.Close()
+	}
+	if f.Hosts != nil {
+		f.Hosts.Close()
+	}
+	f.History.Close()
+	f.log.Close()
+}
+
+// Log is the text of all logs so far.
+func (f *Fleet) Log() string {
+	b, err := os.ReadFile(f.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
--- /dev/null
+++ b/internal/nemesis/process.go
@@ -0,0 +1,83 @@
+// Package nemesis starts several processes of the program, puts faults in between them and checks
+// what they did. It knows the program by its files, its addresses and its log alone.
+package nemesis
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one process of the program, started and ended by us.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	code int
+
+	mu    sync.Mutex
+	lines int
+}
+
+// StartProcess starts a program. Its log goes to out, and each line of it to heard.
+func StartProcess(name, bin string, args, env []string, out io.Writer, heard func(line string)) (*Process, error) {
+	p := &Process{Name: name, cmd: exec.Command(bin, args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	if err := p.cmd.Start(); err != nil {
+		r.Close()
+		w.Close()
+		return nil, err
+	}
+	w.Close()
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		defer r.Close()
+		in := bufio.NewScanner(r)
+		in.Buffer(nil, 1<<20)
+		for in.Scan() {
+			fmt.Fprintf(out, "%s %s %s\n", time.Now().Format("15:04:05.000"), name, in.Text())
+			if heard != nil {
+				heard(in.Text())
+			}
+		}
+	}()
+	go func() {
+		<-read // all that it wrote, before it counts as ended
+		p.cmd.Wait()
+		p.code = p.cmd.ProcessState.ExitCode()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Stop stops the process where it is, Continue has it go on.
+func (p *Process) Stop() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Continue has a stopped process go on.
+func (p *Process) Continue() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to end in order.
+func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.done }
+
+// Code is its exit code, once it has ended.
+func (p *Process) Code() int { return p.code }
