--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -158,8 +158,9 @@
 	deadline time.Duration
 	renewed  time.Duration // when the last renewal was sent
 	renewGap time.Duration
-	opening  uint64 // id of the command that opens the session; 0: none is out
-	target   string // who is asked: the leader, as far as is known
+	opening  uint64        // id of the command that opens the session; 0: none is out
+	target   string        // who is asked: the leader, as far as is known
+	unheard  time.Duration // since when it was asked and has said nothing; 0: it has
 	request  uint64
 	asks     []*ask
 	nextAsk  uint64
--- a/internal/cluster/member/session.go
+++ b/internal/cluster/member/session.go
@@ -33,10 +33,7 @@
 
 // renew asks for the session to go on.
 func (m *Member) renew() {
-	if len(m.sent) > 0 && m.now >= m.renewed+askAgain {
-		// The last one was not answered: whoever was asked may be gone.
-		m.nextTarget()
-	}
+	m.nextTarget()
 	m.lastSeq++
 	m.renewed = m.now
 	m.renewGap = askAgain + time.Duration(m.rng.Int64N(int64(askAgain))) // until it is answered
@@ -46,25 +43,57 @@
 			delete(m.sent, seq)
 		}
 	}
-	m.talk(m.target, &Talk{Renew: &Renew{m.session, m.lastSeq, m.view.index}})
+	m.toTarget(&Talk{Renew: &Renew{m.session, m.lastSeq, m.view.index}})
 }
 
-// nextTarget asks another of those that may lead.
+// toTarget says something to whoever is taken to lead.
+func (m *Member) toTarget(t *Talk) {
+	if m.unheard == 0 {
+		m.unheard = m.now
+	}
+	m.talk(m.target, t)
+}
+
+// aim takes a gateway for the leader.
+func (m *Member) aim(at string) {
+	if at != m.target {
+		m.target, m.unheard = at, 0
+	}
+}
+
+// nextTarget asks another of those that may lead, where the one that was asked says nothing: one
+// that answers is not left for a command of ours that waits.
 func (m *Member) nextTarget() {
+	if m.unheard == 0 || m.now < m.unheard+askAgain {
+		return
+	}
+	if lead := m.leader(); lead != "" && lead != m.target {
+		m.aim(lead)
+		return
+	}
 	var list []string
 	for _, k := range m.view.keepers {
-		if !k.Learner && k.Name != "" {
+		if !k.Learner && k.Name != "" && k.Name != m.target {
 			list = append(list, k.Name)
 		}
 	}
 	if len(list) == 0 {
 		list = m.cfg.First
 	}
-	if lead := m.leader(); lead != "" && lead != m.target {
-		m.target = lead
-		return
+	m.unheard = 0
+	m.aim(list[m.rng.IntN(len(list))])
+}
+
+// answered takes note that a gateway is there; lead is whom it says to lead, "" where it does not
+// know.
+func (m *Member) answered(from string, leads bool, lead string) {
+	switch {
+	case from != m.target:
+	case leads || lead != "" && lead != from:
+		m.unheard = 0
+	default:
+		m.unheard = 1 // it is of no use to us: another is asked next
 	}
-	m.target = list[m.rng.IntN(len(list))]
 }
 
 // hearAck takes the leader's word on a renewal, or news.
@@ -78,6 +107,7 @@
 		}
 		return
 	}
+	m.answered(from, a.View != nil || a.Gone, a.Lead)
 	sent, ok := m.sent[a.Seq]
 	if !ok {
 		return
@@ -89,7 +119,7 @@
 	if a.View == nil { // it does not lead
 		delete(m.sent, a.Seq)
 		if a.Lead != "" && a.Lead != m.target {
-			m.target = a.Lead
+			m.aim(a.Lead)
 			m.renewGap = TickEvery
 		}
 		return
@@ -98,7 +128,7 @@
 		sent = m.now
 	}
 	clear(m.sent)
-	m.target = from
+	m.aim(from)
 	m.renewGap = lease.RenewEvery
 	m.deadline = max(m.deadline, lease.OwnDeadline(sent))
 	m.learn(from, a)
@@ -243,21 +273,17 @@
 
 func (m *Member) send(a *ask) {
 	a.again = m.now + askAgain + time.Duration(m.rng.Int64N(int64(askAgain)))
-	m.talk(m.target, &Talk{Ask: &a.Ask})
+	m.toTarget(&Talk{Ask: &a.Ask})
 }
 
 // retry asks again what was not answered, with the same id and number: it has one effect.
 func (m *Member) retry() {
-	moved := false
 	for _, a := range slices.Clone(m.asks) {
 		switch {
 		case m.now >= a.began+askMost && a.Command.Op != lease.Open:
 			m.finish(a, Done{ID: a.ID})
 		case m.now >= a.again:
-			if !moved {
-				m.nextTarget()
-				moved = true
-			}
+			m.nextTarget()
 			m.send(a)
 		}
 	}
@@ -278,6 +304,7 @@
 
 // hearAnswer takes the answer to a command.
 func (m *Member) hearAnswer(from string, r *Answer) {
+	m.answered(from, !r.Not, r.Lead)
 	i := slices.IndexFunc(m.asks, func(a *ask) bool { return a.ID == r.ID })
 	if i < 0 {
 		return
@@ -285,7 +312,7 @@
 	a := m.asks[i]
 	if r.Not || r.Result == nil {
 		if r.Lead != "" && r.Lead != from {
-			m.target = r.Lead
+			m.aim(r.Lead)
 			a.again = min(a.again, m.now+TickEvery)
 		}
 		return
--- /dev/null
+++ b/internal/cluster/sim/calm.go
@@ -0,0 +1,87 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"lynxspool/internal/cluster/lease"
+)
+
+// Calm plays what must disturb nobody: a follower that is cut off and comes back deposes no
+// leader, a leader that is cut off does not go on as one, and when a leader dies no session but
+// its own is lost.
+func Calm(seed uint64) error {
+	w := New(Options{Seed: seed, Nodes: 9, Keepers: 5, Duties: 9})
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	if !w.Until(Bound, w.Whole) {
+		return w.failed("the fleet did not form")
+	}
+	lead := w.Leader()
+	follower := w.Nodes[0]
+	if follower == lead {
+		follower = w.Nodes[1]
+	}
+	for _, o := range w.Nodes {
+		if o != follower {
+			w.Cut(follower, o)
+			w.Cut(o, follower)
+		}
+	}
+	if err := w.Run(5 * time.Second); err != nil {
+		return err
+	}
+	clear(w.cut)
+	term := lead.m.Status(lead.clock()).Term
+	if err := w.Run(5 * time.Second); err != nil {
+		return err
+	}
+	if now := w.Leader(); now != lead || lead.m.Status(lead.clock()).Term != term {
+		return w.failed(fmt.Sprintf("%s came back from a cut and deposed %s", follower.name, lead.name))
+	}
+	if !w.Until(Bound, w.Whole) {
+		return w.failed("not whole after a follower came back")
+	}
+
+	// A leader alone is none for long, whoever asks it.
+	for _, o := range w.Nodes {
+		if o != lead {
+			w.Cut(lead, o)
+			w.Cut(o, lead)
+		}
+	}
+	if err := w.Run(lease.TTL); err != nil {
+		return err
+	}
+	if lead.m.Leads() {
+		return w.failed(fmt.Sprintf("%s leads still, cut off for %v", lead.name, lease.TTL))
+	}
+	clear(w.cut)
+	if !w.Until(Bound, w.Whole) {
+		return w.failed("not whole after a leader came back")
+	}
+
+	lead = w.Leader()
+	before := map[*Node]uint64{}
+	for _, n := range w.Nodes {
+		before[n] = n.m.Session()
+	}
+	lead.Kill()
+	if err := w.Run(3 * lease.TTL); err != nil {
+		return err
+	}
+	for _, n := range w.Nodes {
+		if n != lead && n.m.Session() != before[n] {
+			return w.failed(fmt.Sprintf("the session of %s lapsed though only the leader died", n.name))
+		}
+	}
+	return nil
+}
+
+func (w *World) failed(what string) error {
+	if w.Bad != nil {
+		return w.Bad
+	}
+	return fmt.Errorf("seed %d at %v: %s: %s", w.Seed, w.Now, what, w.describe())
+}
--- a/internal/cluster/sim/check.go
+++ b/internal/cluster/sim/check.go
@@ -79,6 +79,17 @@
 			}
 			if n.believes(duty) == token {
 				pause := w.between(0, time.Millisecond)
+				if n.stopActing > 0 {
+					// The process is stopped here, between the look and the act.
+					stop := n.stopActing
+					n.stopActing = 0
+					n.Pause()
+					w.after(stop, func() {
+						if n.life == life {
+							n.Resume()
+						}
+					})
+				}
 				w.after(pause, func() {
 					n.come(func() {
 						if n.life == life {
@@ -152,7 +163,7 @@
 // learn follows the record from one index to the next: tokens only grow, and no write is taken
 // under any but the duty's.
 func (w *World) learn(st *lease.State) {
-	if st.Index < w.latest {
+	if st.Index <= w.latest {
 		return
 	}
 	w.latest = st.Index
--- a/internal/cluster/sim/nemesis.go
+++ b/internal/cluster/sim/nemesis.go
@@ -30,7 +30,7 @@
 	}
 	soon := func(do func()) { w.after(w.between(100*time.Millisecond, 5*time.Second), do) }
 	life := n.life
-	kind := w.rng.IntN(13)
+	kind := w.rng.IntN(15)
 	if w.trace {
 		fmt.Println(w.Now, "fault", kind, "at", n.name)
 	}
@@ -107,7 +107,17 @@
 			n.Restore(w.rng.IntN(2) == 0)
 			soon(n.Start)
 		}
-	case 12:
+	case 12, 13: // an owner is stopped between its look and its act, for up to three lease times
+		for _, x := range w.Nodes {
+			if x.up && !x.paused && len(x.works) > 0 {
+				n = x
+				if w.rng.IntN(3) == 0 {
+					break
+				}
+			}
+		}
+		n.stopActing = w.between(lease.TTL/2, 3*lease.TTL)
+	case 14:
 		if lead := w.Leader(); lead != nil && w.Duties > 0 {
 			lead.m.Ask(lead.clock(), lease.Command{Op: lease.Move, Duty: fmt.Sprintf("d%d", w.rng.IntN(w.Duties)), To: o.name})
 			lead.drain()
--- a/internal/cluster/sim/sim_test.go
+++ b/internal/cluster/sim/sim_test.go
@@ -47,3 +47,8 @@
 		return err
 	})
 }
+
+// What must disturb nobody does not.
+func TestCalm(t *testing.T) {
+	each(t, *seeds, Calm)
+}
--- a/internal/cluster/sim/world.go
+++ b/internal/cluster/sim/world.go
@@ -109,8 +109,10 @@
 	looked  uint64 // index of the record as last looked at, and summed
 	summed  uint64
 	aside   bool
-	doubt   uint64 // the identity of a disk that was put back
-	ended   error  // why it could not start
+	// stopActing has the process stop for so long between its next look and act.
+	stopActing time.Duration
+	doubt      uint64 // the identity of a disk that was put back
+	ended      error  // why it could not start
 }
 
 type event struct {
@@ -411,7 +413,7 @@
 	clear(w.cut)
 	w.faults = Faults{}
 	for _, n := range w.Nodes {
-		n.fs.full, n.fs.broken, n.slow = false, nil, 0
+		n.fs.full, n.fs.broken, n.slow, n.stopActing = false, nil, 0, 0
 		n.Resume()
 		if n.up && n.m.Halted() != nil {
 			n.Kill() // an operator starts it again
@@ -533,6 +535,16 @@
 	}
 	f := w.faults
 	if f.Lost > 0 && w.rng.Float64() < f.Lost {
+		if mine := n.life; s.Snapshot != 0 { // it goes on a connection of its own, which tells
+			w.after(w.between(delayLeast, delayMost), func() {
+				n.come(func() {
+					if n.life == mine {
+						n.m.Snapshot(n.clock(), s.Snapshot, false)
+						n.drain()
+					}
+				})
+			})
+		}
 		return
 	}
 	d := w.between(delayLeast, delayMost)
