Nemesis: a duty changes hands for nine causes among processes, and disks are lost

What the simulation can't show is the program itself: files, sockets, signals. Five processes under load have the duty to watch discovery change hands by kill, stop, cut, one-way cuts, a planned move, the leader's death beside, SIGTERM and a restart of all; three lose, restore and flip a bit of the leader's disk; strangers are refused by a plain line.

Seen by it and mended: an owner that was heard and heard nothing kept its duty from others for 20 s, as the leader went on extending its session, and then took its own replica's answer for the leader's: a renewal counts only while the gateway hears the leader's answers (3.2 to 5.6 s now). By the simulation: an opening of a session that came late ended the session that had been opened since; openings are numbered now. Two gateways under one name made each other's connection flap: the second is refused. A link that is down is logged once.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -320,7 +320,7 @@
 		}
 	}
 	now := duty.Now()
-	if now >= f.shown+statusEvery {
+	if now >= f.shown+statusEvery || len(o.Lines) > 0 || o.Held {
 		f.shown = now
 		f.status.Store(f.member.Status(now))
 	}
--- a/internal/cluster/lease/lease.go
+++ b/internal/cluster/lease/lease.go
@@ -60,8 +60,8 @@
 // Opens is who begins a session.
 type Opens struct {
 	Name    string   `json:"name"`
-	Disk    uint64   `json:"disk"`  // the identity of its data directory
-	Nonce   uint64   `json:"nonce"` // drawn for this opening: the same again is the same session
+	Disk    uint64   `json:"disk"` // the identity of its data directory
+	Opening uint64   `json:"no"`   // grows with each opening by that disk; the same again is the same session
 	Zone    string   `json:"zone,omitempty"`
 	Machine string   `json:"machine,omitempty"`
 	Address string   `json:"addr,omitempty"`
@@ -108,6 +108,7 @@
 	Zone    string `json:"zone,omitempty"`
 	Machine string `json:"machine,omitempty"`
 	Address string `json:"addr,omitempty"`
+	Opening uint64 `json:"no"`  // of its last session
 	Mod     uint64 `json:"mod"` // index of the last change
 }
 
@@ -272,11 +273,16 @@
 	if m == nil && len(s.Members) >= MembersMost {
 		return Result{Code: Refused, Why: fmt.Sprintf("the fleet has %d members, %d at most", len(s.Members), MembersMost)}
 	}
+	if m != nil && m.Disk == o.Disk {
+		switch {
+		case m.Opening == o.Opening && m.Session != 0:
+			return Result{Code: OK, Session: m.Session}
+		case o.Opening <= m.Opening && !guard.Out(guard.Repeat):
+			return Result{Code: Old, Why: "it has come late: the gateway has opened another session since"}
+		}
+	}
 	if m != nil && m.Session != 0 {
 		was := s.Sessions[m.Session]
-		if was.Nonce == o.Nonce {
-			return Result{Code: OK, Session: was.ID}
-		}
 		if was.Disk != o.Disk {
 			return Result{Code: Taken, Why: fmt.Sprintf("a living gateway has the name %s, with another disk", o.Name)}
 		}
@@ -285,7 +291,7 @@
 	}
 	s.NextID++
 	s.Sessions[s.NextID] = &Session{ID: s.NextID, Opens: *o, Since: s.Index}
-	s.Members[o.Name] = &Member{o.Name, s.NextID, o.Disk, o.Zone, o.Machine, o.Address, s.Index}
+	s.Members[o.Name] = &Member{o.Name, s.NextID, o.Disk, o.Zone, o.Machine, o.Address, o.Opening, s.Index}
 	for _, d := range o.Offers {
 		if s.Duties[d] == nil && len(d) <= NameMost && d != "" && len(s.Duties) < DutiesMost {
 			s.Duties[d] = &Duty{Name: d, Mod: s.Index}
--- a/internal/cluster/lease/watch.go
+++ b/internal/cluster/lease/watch.go
@@ -30,6 +30,28 @@
 	began   time.Duration
 	until   map[uint64]time.Duration
 	lapsing map[uint64]time.Duration // when their end was proposed
+	hears   map[uint64]hearing
+}
+
+// hearing is how far a gateway has heard our answers, and since when it stands there.
+type hearing struct {
+	seq   uint64
+	since time.Duration
+}
+
+// DeafAfter is how long a gateway may renew without having heard an answer: it may have lost two.
+// One that hears nothing believes itself no owner, and must not keep duties from others.
+const DeafAfter = RenewEvery
+
+// Hears takes note of the last answer that a gateway has heard, and says whether its renewals
+// count.
+func (w *Watch) Hears(session, seq uint64, now time.Duration) bool {
+	h, ok := w.hears[session]
+	if !ok || seq != h.seq {
+		w.hears[session] = hearing{seq, now}
+		return true
+	}
+	return now < h.since+DeafAfter
 }
 
 // NewWatch begins a lead at now.
@@ -37,7 +59,7 @@
 	if guard.Out(guard.Extension) {
 		now -= TTL
 	}
-	return &Watch{began: now, until: map[uint64]time.Duration{}, lapsing: map[uint64]time.Duration{}}
+	return &Watch{began: now, until: map[uint64]time.Duration{}, lapsing: map[uint64]time.Duration{}, hears: map[uint64]hearing{}}
 }
 
 // Again gives each session its whole time again, as of a lead that begins now: for a leader that
@@ -46,6 +68,7 @@
 func (w *Watch) Again(now time.Duration) {
 	w.began = now
 	clear(w.until)
+	clear(w.hears)
 }
 
 // Renew takes note of a renewal heard at a time, and says whether it holds: one whose end was
@@ -80,6 +103,11 @@
 			delete(w.until, id)
 		}
 	}
+	for id := range w.hears {
+		if s.Sessions[id] == nil {
+			delete(w.hears, id)
+		}
+	}
 	for id := range w.lapsing {
 		if s.Sessions[id] == nil {
 			delete(w.lapsing, id)
--- a/internal/cluster/member/lead.go
+++ b/internal/cluster/member/lead.go
@@ -255,9 +255,15 @@
 	}
 	s, _ := m.node.Status(Record)
 	a := &Ack{Session: w.renew.Session, Seq: w.renew.Seq, Term: s.Term}
-	if m.st.Sessions[w.renew.Session] == nil || !m.watch.Renew(w.renew.Session, w.heard) {
+	switch {
+	case m.st.Sessions[w.renew.Session] == nil:
 		a.Gone = true
-	} else if v := m.st.Since(w.renew.Known); true {
+	case !m.watch.Hears(w.renew.Session, w.renew.Heard, w.heard):
+		a.Again = true
+	case !m.watch.Renew(w.renew.Session, w.heard):
+		a.Gone = true
+	default:
+		v := m.st.Since(w.renew.Known)
 		a.View = &v
 	}
 	m.talk(w.from, &Talk{Ack: a})
--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -152,8 +152,9 @@
 
 	// Of the session.
 	session  uint64
-	nonce    uint64
+	openings uint64
 	lastSeq  uint64
+	heard    uint64 // the last renewal that was answered
 	sent     map[uint64]time.Duration
 	deadline time.Duration
 	renewed  time.Duration // when the last renewal was sent
--- a/internal/cluster/member/session.go
+++ b/internal/cluster/member/session.go
@@ -13,13 +13,7 @@
 	m.retry()
 	if m.session == 0 {
 		if m.opening == 0 {
-			if m.nonce == 0 {
-				m.nonce = m.rng.Uint64() | 1
-			}
-			m.opening = m.enqueue(lease.Command{Op: lease.Open, Open: &lease.Opens{
-				Name: m.cfg.Name, Disk: m.cfg.Disk.Replica, Nonce: m.nonce, Zone: m.cfg.Zone, Machine: m.cfg.Machine,
-				Address: m.cfg.Address, Offers: m.offers,
-			}})
+			m.opening = m.enqueue(m.open())
 		}
 		return
 	}
@@ -31,6 +25,16 @@
 	}
 }
 
+// open is the command for the next session: its number is above that of any before by this disk,
+// so that one that comes late ends nothing.
+func (m *Member) open() lease.Command {
+	m.openings++
+	return lease.Command{Op: lease.Open, Open: &lease.Opens{
+		Name: m.cfg.Name, Disk: m.cfg.Disk.Replica, Opening: m.cfg.Disk.Boots<<32 | m.openings, Zone: m.cfg.Zone, Machine: m.cfg.Machine,
+		Address: m.cfg.Address, Offers: m.offers,
+	}}
+}
+
 // renew asks for the session to go on.
 func (m *Member) renew() {
 	m.nextTarget()
@@ -43,7 +47,7 @@
 			delete(m.sent, seq)
 		}
 	}
-	m.toTarget(&Talk{Renew: &Renew{m.session, m.lastSeq, m.view.index}})
+	m.toTarget(&Talk{Renew: &Renew{m.session, m.lastSeq, m.heard, m.view.index}})
 }
 
 // toTarget says something to whoever is taken to lead.
@@ -107,11 +111,18 @@
 		}
 		return
 	}
-	m.answered(from, a.View != nil || a.Gone, a.Lead)
+	m.answered(from, a.View != nil || a.Gone || a.Again, a.Lead)
 	sent, ok := m.sent[a.Seq]
 	if !ok {
 		return
 	}
+	if a.View != nil || a.Again { // a leader's word: any other's says nothing of whether we hear that
+		m.heard = max(m.heard, a.Seq)
+	}
+	if a.Again {
+		m.renewGap = 0 // it is renewed once the leader knows that we hear it
+		return
+	}
 	if a.Gone {
 		m.lapsed("the record has it no more")
 		return
@@ -202,10 +213,10 @@
 	}
 }
 
-// lapsed ends the session as we know it; the next has another nonce.
+// lapsed ends the session as we know it; the next has another number.
 func (m *Member) lapsed(why string) {
 	m.line(true, "session lapsed", "session", m.session, "why", why)
-	m.session, m.nonce, m.deadline, m.opening = 0, 0, 0, 0
+	m.session, m.deadline, m.opening = 0, 0, 0
 	clear(m.sent)
 	for duty := range m.holds {
 		m.drop(duty)
@@ -329,20 +340,13 @@
 	m.finish(a, Done{})
 	if r.Code != lease.OK {
 		m.line(true, "the fleet does not take this gateway", "why", r.Why)
-		m.nonce = 0
-		// Asked again with the next nonce, and not at once.
-		m.opening = m.nextAsk + 1
+		// Asked again with the next number, and not at once.
 		m.nextAsk++
-		later := &ask{Ask: Ask{m.opening, lease.Command{Op: lease.Open}}, began: m.now, again: m.now + lease.RenewEvery}
-		m.nonce = m.rng.Uint64() | 1
-		later.Command.Open = &lease.Opens{
-			Name: m.cfg.Name, Disk: m.cfg.Disk.Replica, Nonce: m.nonce, Zone: m.cfg.Zone, Machine: m.cfg.Machine,
-			Address: m.cfg.Address, Offers: m.offers,
-		}
-		m.asks = append(m.asks, later)
+		m.opening = m.nextAsk
+		m.asks = append(m.asks, &ask{Ask: Ask{m.opening, m.open()}, began: m.now, again: m.now + lease.RenewEvery})
 		return
 	}
-	m.session, m.request, m.view.index = r.Session, 0, 0
+	m.session, m.request, m.view.index, m.lastSeq, m.heard = r.Session, 0, 0, 0, 0
 	m.line(false, "session begun", "session", r.Session)
 	m.renew()
 }
--- a/internal/cluster/member/wire.go
+++ b/internal/cluster/member/wire.go
@@ -64,6 +64,7 @@
 type Renew struct {
 	Session uint64 `json:"session"`
 	Seq     uint64 `json:"seq"`
+	Heard   uint64 `json:"heard"` // the last that was answered: a gateway that hears nothing is none that lives
 	Known   uint64 `json:"known"` // index of the view that is known
 }
 
@@ -72,7 +73,8 @@
 	Session uint64      `json:"session"`
 	Seq     uint64      `json:"seq,omitempty"` // 0: news only, nothing is renewed
 	Gone    bool        `json:"gone,omitempty"`
-	Lead    string      `json:"lead,omitempty"` // who leads, where it is not the sender
+	Again   bool        `json:"again,omitempty"` // nothing is renewed before the leader knows that this was heard
+	Lead    string      `json:"lead,omitempty"`  // who leads, where it is not the sender
 	Term    uint64      `json:"term,omitempty"`
 	View    *lease.View `json:"view,omitempty"`
 }
--- a/internal/cluster/peer/peer.go
+++ b/internal/cluster/peer/peer.go
@@ -72,8 +72,15 @@
 	all    sync.WaitGroup
 
 	mu    sync.Mutex
-	conns map[net.Conn]string // that came in, with the gateway behind it
-	saved map[string]*part    // snapshots of which a part has come
+	conns map[net.Conn]*caller // that came in
+	saved map[string]*part     // snapshots of which a part has come
+}
+
+// caller is the gateway behind a connection that came in for frames.
+type caller struct {
+	name    string
+	replica uint64
+	heard   atomic.Int64 // when it last said something, in Unix nanoseconds
 }
 
 // link is the way to one gateway.
@@ -90,7 +97,7 @@
 
 // New serves on ln, which is the Carrier's from now on.
 func New(cfg Config, ln net.Listener, to Handler) *Carrier {
-	c := &Carrier{cfg: cfg, to: to, peers: map[string]*link{}, ln: ln, conns: map[net.Conn]string{}, saved: map[string]*part{}}
+	c := &Carrier{cfg: cfg, to: to, peers: map[string]*link{}, ln: ln, conns: map[net.Conn]*caller{}, saved: map[string]*part{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for name, addr := range cfg.Peers {
 		c.peers[name] = &link{name: name, addr: addr, wake: make(chan struct{}, 1)}
@@ -173,20 +180,23 @@
 	}
 }
 
-// say logs an error of a link once.
+// say logs that a link is down, once, and a refusal whenever it says something else.
 func (c *Carrier) say(l *link, err error) {
 	var r *refusal
 	refused := errors.As(err, &r) || errors.Is(err, errKey)
+	text := "down" // what an error of the system says differs each time, in its port
 	if refused {
 		c.Counts.Refused.Add(1)
+		text = err.Error()
 	}
-	if text := err.Error(); text != l.said {
-		l.said = text
-		if refused {
-			slog.Warn("no connection to a gateway of the fleet", "gateway", l.name, "address", l.addr, "why", text)
-		} else {
-			slog.Info("no connection to a gateway of the fleet", "gateway", l.name, "address", l.addr, "why", text)
-		}
+	if text == l.said {
+		return
+	}
+	l.said = text
+	if refused {
+		slog.Warn("no connection to a gateway of the fleet", "gateway", l.name, "address", l.addr, "why", text)
+	} else {
+		slog.Info("no connection to a gateway of the fleet", "gateway", l.name, "address", l.addr, "why", err.Error())
 	}
 }
 
@@ -280,7 +290,7 @@
 		c.mu.Lock()
 		full := len(c.conns) >= connsMost
 		if !full {
-			c.conns[conn] = ""
+			c.conns[conn] = nil
 		}
 		c.mu.Unlock()
 		if full {
@@ -297,9 +307,25 @@
 	}
 }
 
+// judge is the Config's, and one gateway to a name: while one of another disk talks with us under
+// it, a second is refused.
+func (c *Carrier) judge(h *member.Hello) string {
+	if why := c.cfg.Judge(h); why != "" {
+		return why
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.conns {
+		if o != nil && o.name == h.Name && o.replica != h.Replica && time.Since(time.Unix(0, o.heard.Load())) < silentMost {
+			return fmt.Sprintf("another gateway with the name %s is connected", h.Name)
+		}
+	}
+	return ""
+}
+
 // serve takes what comes on a connection.
 func (c *Carrier) serve(conn net.Conn) {
-	purpose, h, err := accept(conn, c.cfg.Key, c.cfg.Hello, c.cfg.Judge)
+	purpose, h, err := accept(conn, c.cfg.Key, c.cfg.Hello, c.judge)
 	if err != nil {
 		var r *refusal
 		if errors.As(err, &r) || errors.Is(err, errKey) {
@@ -314,13 +340,15 @@
 	}
 	// One connection at a time from each: the newest, as the one before may be of a process that
 	// has ended.
+	who := &caller{name: h.Name, replica: h.Replica}
+	who.heard.Store(time.Now().UnixNano())
 	c.mu.Lock()
-	for old, name := range c.conns {
-		if name == h.Name {
+	for old, o := range c.conns {
+		if o != nil && o.name == h.Name {
 			old.Close()
 		}
 	}
-	c.conns[conn] = h.Name
+	c.conns[conn] = who
 	c.mu.Unlock()
 	c.to.Greet(*h)
 	in := bufio.NewReaderSize(conn, 64<<10)
@@ -334,6 +362,7 @@
 			}
 			return
 		}
+		who.heard.Store(time.Now().UnixNano())
 		if kind == kindIdle {
 			continue
 		}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -26,7 +26,7 @@
 	// lookEvery is how often it is looked whether a watch is due.
 	lookEvery = 250 * time.Millisecond
 	// wantEvery is the least time between two questions for the whole list.
-	wantEvery = time.Second
+	wantEvery = lookEvery
 )
 
 // told is an owner's word with its hosts, as it goes from gateway to gateway.
--- a/internal/nemesis/fleet.go
+++ b/internal/nemesis/fleet.go
@@ -388,39 +388,40 @@
 }
 
 // Whole says whether the fleet is as it should be: all have a session and the same view of who
-// owns what, each duty has an owner, the keepers are as many as at first.
+// has one and who owns what, each duty has an owner, and as many as at first hold the record, each
+// on the disk that it has now.
 func (f *Fleet) Whole() bool {
-	owners := ""
+	var all []*Status
+	own := map[string]*Status{}
 	for _, g := range f.Gateways {
 		if !g.Runs() {
 			return false
 		}
 		s, err := g.Status()
-		if err != nil || s.Session == 0 || s.Leader == "" || len(s.Members) < len(f.Gateways) || len(s.Duties) == 0 || len(s.Keepers) != f.Keepers {
+		if err != nil || s.Session == 0 || s.Leader == "" || s.Role == "stopped" {
+			return false
+		}
+		all = append(all, s)
+		own[g.Name] = s
+	}
+	for _, s := range all {
+		if len(s.Members) != len(all) || len(s.Duties) == 0 || len(s.Keepers) != f.Keepers || s.Leader != all[0].Leader || len(s.Duties) != len(all[0].Duties) {
 			return false
 		}
 		for _, m := range s.Members {
-			if m.Session == 0 {
+			if m.Session != own[m.Name].Session {
 				return false
 			}
 		}
 		for _, k := range s.Keepers {
-			if k.Learner {
+			if k.Learner || own[k.Name] == nil || own[k.Name].Disk != k.Replica {
 				return false
 			}
 		}
-		view := s.Leader
-		for _, d := range s.Duties {
-			if d.Owner == "" {
+		for i, d := range s.Duties {
+			if o := all[0].Duties[i]; d.Owner == "" || d.Owner != o.Owner || d.Token != o.Token {
 				return false
 			}
-			view += fmt.Sprintf(" %s=%s/%d", d.Name, d.Owner, d.Token)
-		}
-		if owners == "" {
-			owners = view
-		}
-		if view != owners {
-			return false
 		}
 	}
 	return true
--- a/internal/nemesis/history.go
+++ b/internal/nemesis/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -192,23 +193,28 @@
 	return bad
 }
 
-// Gaps is how long duties had no owner that knew of it, from the fault until the next owner had
-// taken the duty up: for each time that the owner was hit by a fault.
-func Gaps(events []Event, duty string) (gaps []time.Duration) {
-	since := time.Duration(-1)
-	for _, e := range events {
-		if e.Duty != duty {
-			continue
-		}
-		switch e.Kind {
-		case "fault":
-			since = e.At
-		case TakenUp:
-			if since >= 0 {
-				gaps = append(gaps, e.At-since)
-				since = -1
+// Wait waits for an event behind the n-th, and returns it with its number.
+func (h *History) Wait(ctx context.Context, n int, ok func(Event) bool) (Event, int, error) {
+	for {
+		h.mu.Lock()
+		for ; n < len(h.events); n++ {
+			if e := h.events[n]; ok(e) {
+				h.mu.Unlock()
+				return e, n + 1, nil
 			}
 		}
+		h.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return Event{}, n, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
 	}
-	return gaps
+}
+
+// Len is how many events there are.
+func (h *History) Len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.events)
 }
--- a/internal/nemesis/nemesis_test.go
+++ b/internal/nemesis/nemesis_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"lynxspool/internal/standin"
 )
 
 // built is the program, built once for all tests here.
@@ -30,6 +35,7 @@
 // takes, as the machine may be busy with other tests.
 const formTime = 60 * time.Second
 
+// start starts a fleet; what it logged is shown where the test fails.
 func start(t *testing.T, o Options) *Fleet {
 	t.Helper()
 	o.Bin, o.Dir = built, t.TempDir()
@@ -38,6 +44,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
+		for _, bad := range Check(f.History.Events()) {
+			t.Error(bad)
+		}
+		for _, g := range f.Gateways {
+			if g.Crashed() {
+				t.Errorf("%s has ended by itself", g.Name)
+			}
+		}
 		f.Close()
 		if t.Failed() {
 			t.Log(f.Log())
@@ -59,10 +73,154 @@
 	}
 }
 
-func TestForms(t *testing.T) {
-	f := start(t, Options{Gateways: 3, Keepers: 3, Nodes: 3, Seed: 1})
-	for _, bad := range Check(f.History.Events()) {
-		t.Error(bad)
+// load has clients ask at a gateway until the test's end, and then checks the rules.
+func load(t *testing.T, f *Fleet, g *Gateway) {
+	ctx, cancel := context.WithCancel(context.Background())
+	classes := standin.Classes()
+	for i := range classes {
+		classes[i].Timeout = 10 * time.Second
+	}
+	l := standin.Load{URL: g.URL(), Rate: 100, Count: 100_000, Classes: classes, Seed: f.Seed, Retries: 2}
+	var wait sync.WaitGroup
+	wait.Go(func() { l.Run(ctx, f.Hosts.Ledger) })
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+		c := f.Hosts.Ledger.Count()
+		if broken := c.Broken(); broken != "" || c.Ends[standin.Served] == 0 {
+			t.Errorf("of %d asked %v; rules broken: %s", c.Asked, c.Ends, broken)
+		}
+	})
+}
+
+// A duty changes hands for every cause, under load: one owner a token, tokens that only grow, and
+// nothing of it is felt by the clients of a gateway that is not hit itself.
+func TestHands(t *testing.T) {
+	f := start(t, Options{Gateways: 5, Keepers: 3, Nodes: 3, Seed: 1})
+	spare := f.Gateways[4]
+	load(t, f, spare)
+	for _, cause := range Causes {
+		gap, err := f.Hands(context.Background(), cause, "list/calendar", spare)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %v without an owner", cause, gap.Round(time.Millisecond))
 	}
-	t.Log(f.Log())
+}
+
+// A gateway whose disk was emptied, or put back from an older copy, is another replica: it does
+// not vote as the one it was, and takes that one's place in the end.
+func TestDisks(t *testing.T) {
+	f := start(t, Options{Gateways: 3, Keepers: 3, Nodes: 3, Seed: 2})
+	for _, what := range []string{"wiped", "put back", "flipped"} {
+		g := f.Leader()
+		if g == nil {
+			t.Fatal("nobody leads")
+		}
+		before, err := g.Status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if what == "put back" {
+			if err := g.Copy(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		g.Kill()
+		switch what {
+		case "wiped":
+			err = g.Wipe()
+		case "put back":
+			err = g.Restore()
+		case "flipped":
+			err = flip(g)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Start(); err != nil {
+			t.Fatal(err)
+		}
+		whole(t, f)
+		after, err := g.Status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if after.Disk == before.Disk {
+			t.Errorf("%s: %s came back as the replica that it was", what, g.Name)
+		}
+		found := false
+		for _, k := range after.Keepers {
+			if k.Replica == before.Disk {
+				t.Errorf("%s: the old replica of %s is still one of %v", what, g.Name, after.Keepers)
+			}
+			found = found || k.Replica == after.Disk
+		}
+		if !found {
+			t.Errorf("%s: the new replica of %s is not one of %v", what, g.Name, after.Keepers)
+		}
+	}
+}
+
+// flip changes a bit in the midst of a gateway's log.
+func flip(g *Gateway) error {
+	logs, err := filepath.Glob(filepath.Join(g.dir, "log-*"))
+	if err != nil || len(logs) == 0 {
+		return fmt.Errorf("no log in %s: %v", g.dir, err)
+	}
+	b, err := os.ReadFile(logs[0])
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(logs[0], os.O_RDWR, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.WriteAt([]byte{b[len(b)/2] ^ 0x10}, int64(len(b)/2))
+	return err
+}
+
+// Others are not let in: by another key, of another fleet, under a name that is taken.
+func TestStrangers(t *testing.T) {
+	f := start(t, Options{Gateways: 3, Keepers: 3, Nodes: 1, Seed: 3})
+	g := f.Gateways[2]
+	good, err := os.ReadFile(g.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		what    string
+		replace []string
+		want    string
+	}{
+		{"another key", []string{"/key\"", "/other\""}, "it does not know the fleet's key"},
+		{"another's disk", []string{`id = "trial"`, `id = "rial"`}, "the disk is another's"},
+		{"another fleet", []string{`id = "trial"`, `id = "rial"`, "/g3\"", "/g3-other\""}, `refused by it: it is of fleet`},
+		{"a taken name", []string{"name = \"g3\"\nadmin", "name = \"g1\"\nadmin", "peer]]\nname = \"g1\"", "peer]]\nname = \"g3\"", "/g3\"", "/g3-second\""},
+			"another gateway with the name g1 is connected"},
+	} {
+		g.Kill()
+		if err := os.WriteFile(filepath.Join(f.Dir, "other"), []byte("this is not the key of that fleet"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(g.file, []byte(strings.NewReplacer(c.replace...).Replace(string(good))), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		said := len(f.Log())
+		if err := g.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Until(context.Background(), c.what+" is refused", formTime, func() bool { return strings.Contains(f.Log()[said:], c.want) }); err != nil {
+			t.Error(err)
+		}
+		g.Kill()
+	}
+	if err := os.WriteFile(g.file, good, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Start(); err != nil {
+		t.Fatal(err)
+	}
+	whole(t, f)
 }
