--- /dev/null
+++ b/cmd/dunemoorctl/fleet.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lynxspool/internal/cluster/member"
+	"lynxspool/internal/fleet"
+)
+
+// Exit codes of the fleet's commands, beside 1 for what could not be asked at all.
+const (
+	exitRefused = 2 // the fleet refused it, nothing was done
+	exitUnknown = 3 // what came of it is not known: ask again, it has one effect
+	exitApart   = 4 // status: the gateway has no session, or nobody leads
+)
+
+// coded is an error with an exit code of its own.
+type coded struct {
+	code int
+	text string
+}
+
+func (e *coded) Error() string { return e.text }
+
+// callTime is how long a gateway has to answer.
+const callTime = 6 * time.Second
+
+// operateFleet is about the fleet, asked at one gateway.
+func operateFleet() *cobra.Command {
+	var admin string
+	cmd := &cobra.Command{Use: "fleet", Short: "See who owns what in a fleet of gateways, and change it"}
+	cmd.PersistentFlags().StringVar(&admin, "admin", "127.0.0.1:8090", "the gateway's address for operators, `host:port`")
+	status := func() (*member.Status, []byte, error) {
+		text, err := call(http.MethodGet, admin, fleet.PathFleet, nil)
+		if err != nil {
+			return nil, nil, err
+		}
+		s := &member.Status{}
+		if err := json.Unmarshal(text, s); err != nil {
+			return nil, nil, fmt.Errorf("%s: %w", admin, err)
+		}
+		return s, text, nil
+	}
+	asJSON := false
+	show := &cobra.Command{
+		Use: "status", Args: cobra.NoArgs,
+		Short: "How the gateway stands in its fleet; ends with 4 where it has no session or nobody leads",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, text, err := status()
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				cmd.OutOrStdout().Write(text)
+			} else {
+				printStatus(cmd.OutOrStdout(), s)
+			}
+			if s.Session == 0 || s.Leader == "" {
+				return &coded{exitApart, s.Name + " has no session with its fleet, or nobody leads that: requests are served, duties stand still"}
+			}
+			return nil
+		},
+	}
+	show.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	table := func(use, short string, print func(w io.Writer, s *member.Status)) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			s, _, err := status()
+			if err == nil {
+				print(cmd.OutOrStdout(), s)
+			}
+			return err
+		}}
+	}
+	act := func(use, short, path string, keys ...string) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(len(keys)), RunE: func(cmd *cobra.Command, args []string) error {
+			with := url.Values{}
+			for i, k := range keys {
+				with.Set(k, args[i])
+			}
+			text, err := call(http.MethodPost, admin, path, with)
+			if err == nil {
+				cmd.OutOrStdout().Write(text)
+			}
+			return err
+		}}
+	}
+	cmd.AddCommand(show,
+		table("members", "The gateways of the fleet", printMembers),
+		table("duties", "The duties, and who owns each", printDuties),
+		act("resign DUTY", "Have the owner of a duty give it to another gateway", fleet.PathResign, "duty"),
+		act("move DUTY GATEWAY", "Have the owner of a duty give it to a gateway", fleet.PathMove, "duty", "to"),
+		act("add GATEWAY", "Have a gateway hold a copy of the record from now on", fleet.PathAdd, "gateway"),
+		act("remove GATEWAY", "Have a gateway hold none any more", fleet.PathRemove, "gateway"),
+	)
+	return cmd
+}
+
+// call makes one call at a gateway's address for operators.
+func call(method, admin, path string, with url.Values) ([]byte, error) {
+	u := url.URL{Scheme: "http", Host: admin, Path: path, RawQuery: with.Encode()}
+	r, err := http.NewRequest(method, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := (&http.Client{Timeout: callTime}).Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	said := strings.TrimSpace(string(text))
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return text, nil
+	case http.StatusNotFound:
+		return nil, fmt.Errorf("%s is of no fleet: its file has no [fleet]", admin)
+	case http.StatusConflict, http.StatusServiceUnavailable:
+		return nil, &coded{exitRefused, said}
+	case http.StatusGatewayTimeout:
+		return nil, &coded{exitUnknown, said}
+	}
+	return nil, fmt.Errorf("%s answers %s: %s", admin, resp.Status, said)
+}
+
+// exitCode is what an error ends the program with.
+func exitCode(err error) int {
+	var c *coded
+	if errors.As(err, &c) {
+		return c.code
+	}
+	return 1
+}
+
+func printStatus(w io.Writer, s *member.Status) {
+	fmt.Fprintf(w, "%s of fleet %s: %s", s.Name, s.ID, s.Role)
+	if s.Why != "" {
+		fmt.Fprintf(w, " (%s)", s.Why)
+	}
+	fmt.Fprintf(w, "\nleader %s, term %d, committed to %d, applied to %d here\n", cmp.Or(s.Leader, "not known"), s.Term, s.Commit, s.Applied)
+	if s.Session == 0 {
+		fmt.Fprintln(w, "no session")
+	} else {
+		fmt.Fprintf(w, "session %d, for another %d ms\n", s.Session, s.Expires)
+	}
+	if s.FreshMS < 0 {
+		fmt.Fprintln(w, "never confirmed by a leader")
+	} else {
+		fmt.Fprintf(w, "confirmed by the leader %d ms ago\n", s.FreshMS)
+	}
+	var keepers []string
+	for _, k := range s.Keepers {
+		name := cmp.Or(k.Name, fmt.Sprint(k.Replica))
+		if k.Learner {
+			name += " (being brought up)"
+		}
+		keepers = append(keepers, name)
+	}
+	fmt.Fprintf(w, "the record is held by %s\n%d members, %d with a session\n\n", cmp.Or(strings.Join(keepers, ", "), "nobody that is known"), len(s.Members), s.Sessions)
+	printDuties(w, s)
+}
+
+func printMembers(w io.Writer, s *member.Status) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintln(t, "GATEWAY\tSESSION\tEXPIRES\tZONE\tMACHINE\tDISK")
+	for _, m := range s.Members {
+		session, expires := "none", "-"
+		if m.Session != 0 {
+			session = fmt.Sprint(m.Session)
+		}
+		if m.Expires != nil {
+			expires = fmt.Sprintf("%d ms", *m.Expires)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%016x\n", m.Name, session, expires, cmp.Or(m.Zone, "-"), cmp.Or(m.Machine, "-"), m.Disk)
+	}
+}
+
+func printDuties(w io.Writer, s *member.Status) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer t.Flush()
+	fmt.Fprintln(t, "DUTY\tOWNER\tTOKEN\tTO")
+	for _, d := range s.Duties {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", d.Name, cmp.Or(d.Owner, "nobody"), d.Token, cmp.Or(d.To, "-"))
+	}
+}
--- a/cmd/dunemoorctl/main.go
+++ b/cmd/dunemoorctl/main.go
@@ -11,7 +11,7 @@
 func main() {
 	if err := root().Execute(); err != nil {
 		fmt.Fprintf(os.Stderr, "dunemoorctl: %v\n", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
@@ -21,6 +21,6 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	cmd.CompletionOptions.DisableDefaultCmd = true
-	cmd.AddCommand(flightCommand(), checkCommand(), routesCommand())
+	cmd.AddCommand(flightCommand(), checkCommand(), routesCommand(), operateFleet())
 	return cmd
 }
