An old owner that wakes between its look and its act is turned away, seen among processes

Issue: the owner of a duty is stopped between its look at its deadline and its act, a new owner acts, the old one wakes. A planted build stops itself there (guard.Point) when told by a file; the test waits for the next owner, has it act, continues the old one: its word is turned away by token at the other gateways and said once, and it goes on as a member.

The gateway leaves its fleet beside its stop, not before. A connection may be silent for 10 s, as a process that stood still for less keeps its own.

--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -177,10 +178,12 @@
 			// From here on signals are left unread: neither SIGHUP nor a second
 			// SIGTERM may end the process with requests unanswered.
 			slog.Info("stopping", "signal", s.String())
+			var left sync.WaitGroup
 			if part != nil {
-				part.Leave() // its duties go on elsewhere while it answers what it has
+				left.Go(part.Leave) // its duties go on elsewhere while it answers what it has
 			}
 			g.Stop(recordedWithin)
+			left.Wait()
 			slog.Info("stopped")
 			return nil
 		}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -89,7 +89,7 @@
 
 // counts are of what a Fleet did, for the metrics.
 type counts struct {
-	changes, written, synced atomic.Uint64
+	changes, fenced, written, synced atomic.Uint64
 }
 
 // New opens a gateway's part: its directory and its listener. Nothing runs before Start.
@@ -304,6 +304,7 @@
 			take(n)
 		}
 	}
+	f.counts.fenced.Add(uint64(o.Fenced))
 	for _, w := range o.Wants {
 		if tell := f.wants[w.Duty]; tell != nil {
 			tell(w.From)
--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -105,7 +105,9 @@
 	Held  bool
 	News  []News
 	Wants []Asked
-	Lines []Line
+	// Fenced counts the words of owners of before that were not taken.
+	Fenced int
+	Lines  []Line
 }
 
 // Asked is another gateway that wants to be told all of a duty that we own.
@@ -169,6 +171,7 @@
 	holds    map[string]*Hold
 	resigned map[string]uint64 // token given back, by duty
 	fences   map[string]fence
+	fenced   map[string]uint64 // duty: the token of the owner of before that was turned away last
 	offers   []string
 }
 
@@ -215,7 +218,7 @@
 		node: quorum.New(cfg.Disk.Replica, cfg.Seed), st: lease.NewState(0), birth: cfg.Disk.Birth,
 		raft: map[string][]byte{}, hellos: map[string]Hello{}, replicas: map[uint64]string{}, seen: map[uint64]*seen{}, welcomed: map[uint64]bool{}, words: map[string]*Welcome{},
 		asked: map[uint64]asker{}, proposed: map[string]time.Duration{}, sent: map[uint64]time.Duration{},
-		holds: map[string]*Hold{}, resigned: map[string]uint64{}, fences: map[string]fence{}, offers: slices.Clone(cfg.Offers),
+		holds: map[string]*Hold{}, resigned: map[string]uint64{}, fences: map[string]fence{}, fenced: map[string]uint64{}, offers: slices.Clone(cfg.Offers),
 		renewGap: lease.RenewEvery,
 	}
 	m.view.members, m.view.duties = map[string]lease.Member{}, map[string]lease.Holding{}
@@ -504,7 +507,7 @@
 	case t.Answer != nil:
 		m.hearAnswer(from, t.Answer)
 	case t.News != nil:
-		m.hearNews(t.News)
+		m.hearNews(from, t.News)
 	case t.Want != nil:
 		if m.holds[t.Want.Duty] != nil {
 			m.out.Wants = append(m.out.Wants, Asked{from, t.Want.Duty})
--- a/internal/cluster/member/session.go
+++ b/internal/cluster/member/session.go
@@ -372,12 +372,19 @@
 }
 
 // hearNews is the fence at a gateway: news under an older token than is known are an old owner's.
-func (m *Member) hearNews(n *News) {
+func (m *Member) hearNews(from string, n *News) {
 	f := m.fences[n.Duty]
 	if m.view.at == 0 && !guard.Out(guard.TokenPeer) {
 		return // we don't know yet whose word counts
 	}
 	if (n.Token < f.token || n.Token == f.token && n.Seq <= f.seq) && !guard.Out(guard.TokenPeer) {
+		if n.Token < f.token {
+			m.out.Fenced++
+			if m.fenced[n.Duty] != n.Token { // said once
+				m.fenced[n.Duty] = n.Token
+				m.line(true, "word of an owner of before not taken", "duty", n.Duty, "token", n.Token, "from", from, "now", f.token)
+			}
+		}
 		return
 	}
 	if len(m.fences) >= lease.DutiesMost && f.token == 0 {
--- a/internal/cluster/metrics.go
+++ b/internal/cluster/metrics.go
@@ -24,6 +24,7 @@
 	counter("connections_total", "Connections made to other gateways.", &c.Connects)
 	counter("snapshots_sent_total", "Snapshots of the record sent whole.", &c.Snapshots)
 	counter("duty_changes_total", "Changes of hands of duties, as the leader of the record saw them.", &f.counts.changes)
+	counter("news_fenced_total", "Words of owners of before that were not taken here.", &f.counts.fenced)
 	gauge("term", "The record's term as known here.", func() float64 { return float64(f.Status().Term) })
 	gauge("commit_index", "Index up to which the record is committed, as known here.", func() float64 { return float64(f.Status().Commit) })
 	gauge("applied_index", "Index up to which the record is applied here.", func() float64 { return float64(f.Status().Applied) })
--- a/internal/cluster/peer/peer.go
+++ b/internal/cluster/peer/peer.go
@@ -23,9 +23,10 @@
 	// queueBytes bounds what waits for one gateway; what is over it is lost, as on a bad line.
 	queueBytes = 8 << 20
 	// idleEvery is when a connection says that it is there; silentMost is when one that says
-	// nothing is taken for dead: a machine that vanished tells nobody.
+	// nothing is taken for dead: a machine that vanished tells nobody. It is three sessions long:
+	// a process that stood still for less has its connections when it goes on.
 	idleEvery  = time.Second
-	silentMost = 4 * time.Second
+	silentMost = 10 * time.Second
 	writeTime  = 2 * time.Second
 	dialTime   = time.Second
 	// A connection that fails is tried again soon at first, then once a second.
--- /dev/null
+++ b/internal/cluster/peer/peer_test.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+
+	"lynxspool/internal/cluster/member"
+	"lynxspool/internal/testkit"
+)
+
+// end is a gateway as its carrier sees it.
+type end struct {
+	*Carrier
+	mu     sync.Mutex
+	greets []string
+	got    []string
+	snaps  []bool
+}
+
+func (e *end) Greet(h member.Hello) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.greets = append(e.greets, h.Name)
+}
+
+func (e *end) Receive(from string, kind member.Kind, body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.got = append(e.got, frame(from, kind, len(body), string(body[:min(8, len(body))])))
+}
+
+// frame is one in words: from whom, of what kind, how long, and how it begins.
+func frame(from string, kind member.Kind, size int, begins string) string {
+	return fmt.Sprintf("%s %d %d %s", from, kind, size, begins)
+}
+
+func (e *end) Lost(string) {}
+
+func (e *end) Snapshot(_ uint64, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.snaps = append(e.snaps, ok)
+}
+
+func (e *end) count(of *[]string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(*of)
+}
+
+// pair is two gateways that know one another; by is what may stand between them.
+func pair(t *testing.T, keys [2]string, by func(addr string) string) (ends [2]*end) {
+	t.Helper()
+	var lns [2]net.Listener
+	for i := range lns {
+		lns[i] = testkit.Listen(t, "127.0.0.1:0", nil)
+	}
+	names := [2]string{"a", "b"}
+	for i := range ends {
+		e := &end{}
+		hello := member.Hello{Fleet: "f", Format: member.Format, Name: names[i], Replica: uint64(i + 1)}
+		e.Carrier = New(Config{
+			Name: names[i], Key: []byte(keys[i]), Peers: map[string]string{names[1-i]: by(lns[1-i].Addr().String())},
+			Hello: func() member.Hello { return hello }, Judge: func(*member.Hello) string { return "" },
+		}, lns[i], e)
+		ends[i] = e
+		t.Cleanup(e.Close)
+	}
+	ends[0].Start()
+	ends[1].Start()
+	return ends
+}
+
+func straight(addr string) string { return addr }
+
+// Frames come in the order in which they were sent, behind the hello, and a snapshot beside them.
+func TestCarry(t *testing.T) {
+	e := pair(t, [2]string{"key", "key"}, straight)
+	testkit.Until(t, "both have connected", func() bool { return e[0].count(&e[0].greets) > 0 && e[1].count(&e[1].greets) > 0 })
+	for i := range 100 {
+		e[0].Send(&member.Send{To: "b", Kind: member.KindTalk, Body: fmt.Appendf(nil, "n%03d", i)})
+	}
+	testkit.Until(t, "all have come", func() bool { return e[1].count(&e[1].got) == 100 })
+	for i, got := range e[1].got {
+		if want := frame("a", member.KindTalk, 4, fmt.Sprintf("n%03d", i)); got != want {
+			t.Fatalf("frame %d is %q, want %q", i, got, want)
+		}
+	}
+	big := bytes.Repeat([]byte("snapshot"), 200_000)
+	e[0].Send(&member.Send{To: "b", Kind: member.KindRaft, Body: big, Snapshot: 2})
+	testkit.Until(t, "the snapshot has come", func() bool { return e[1].count(&e[1].got) == 101 })
+	testkit.Until(t, "its sender knows", func() bool { e[0].mu.Lock(); defer e[0].mu.Unlock(); return len(e[0].snaps) == 1 && e[0].snaps[0] })
+	if got := e[1].got[100]; got != frame("a", member.KindRaft, len(big), "snapshot") {
+		t.Errorf("the snapshot is %q", got)
+	}
+}
+
+// Who has another key is not let in, whichever side.
+func TestKey(t *testing.T) {
+	e := pair(t, [2]string{"key", "other"}, straight)
+	testkit.Until(t, "both are refused", func() bool { return e[0].Counts.Refused.Load() > 1 && e[1].Counts.Refused.Load() > 1 })
+	if e[0].count(&e[0].greets)+e[1].count(&e[1].greets) > 0 {
+		t.Error("one was let in")
+	}
+}
+
+// breaking passes a connection on until so many bytes have gone, and then ends it; the next goes
+// through whole.
+func breaking(t *testing.T, after int64) func(addr string) string {
+	return func(addr string) string {
+		ln := testkit.Listen(t, "127.0.0.1:0", nil)
+		t.Cleanup(func() { ln.Close() })
+		left := after
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				d, err := net.Dial("tcp", addr)
+				if err != nil {
+					c.Close()
+					continue
+				}
+				go func() { io.Copy(c, d); c.Close() }()
+				go func() {
+					defer c.Close()
+					defer d.Close()
+					n, _ := io.CopyN(d, c, after)
+					if n < after {
+						return
+					}
+					if left > 0 {
+						left = 0
+						return
+					}
+					io.Copy(d, c)
+				}()
+			}
+		}()
+		return ln.Addr().String()
+	}
+}
+
+// A snapshot that breaks off goes on from where it was.
+func TestSnapshotResumes(t *testing.T) {
+	e := pair(t, [2]string{"key", "key"}, breaking(t, 1<<20))
+	testkit.Until(t, "both have connected", func() bool { return e[0].count(&e[0].greets) > 0 && e[1].count(&e[1].greets) > 0 })
+	big := bytes.Repeat([]byte("snapshot"), 400_000)
+	e[0].Send(&member.Send{To: "b", Kind: member.KindRaft, Body: big, Snapshot: 2})
+	testkit.Until(t, "the snapshot has come", func() bool { return e[1].count(&e[1].got) == 1 })
+	if got := e[1].got[0]; got != frame("a", member.KindRaft, len(big), "snapshot") {
+		t.Errorf("the snapshot is %q", got)
+	}
+}
+
+// A frame is read as it was written, and one with any byte changed is not read as another: its
+// kind and what it carries are under the checksum, and a length that is wrong breaks it.
+func TestFrames(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		body := make([]byte, r.IntN(200))
+		for i := range body {
+			body[i] = byte(r.Uint32())
+		}
+		b := AppendFrame(nil, 7, body)
+		if kind, got, err := ReadFrame(bufio.NewReader(bytes.NewReader(b))); err != nil || kind != 7 || !bytes.Equal(got, body) {
+			t.Fatalf("%d, %v", kind, err)
+		}
+		b[r.IntN(len(b))] ^= 1 << r.IntN(8)
+		if _, _, err := ReadFrame(bufio.NewReader(bytes.NewReader(append(b, body...)))); err == nil {
+			t.Fatalf("a changed frame of %d bytes is read", len(body))
+		}
+	}
+}
+
+// Whatever comes, reading ends and takes no more memory than has come.
+func FuzzReadFrame(f *testing.F) {
+	f.Add(AppendFrame(nil, 1, []byte("body")))
+	f.Add([]byte{255, 255, 127, 0, 1, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		in := bufio.NewReader(bytes.NewReader(b))
+		for {
+			kind, body, err := ReadFrame(in)
+			if err != nil {
+				return
+			}
+			if len(body) > len(b) {
+				t.Fatalf("%d bytes of kind %d out of %d", len(body), kind, len(b))
+			}
+		}
+	})
+}
--- a/internal/nemesis/fleet.go
+++ b/internal/nemesis/fleet.go
@@ -184,7 +184,8 @@
 	if g.process != nil {
 		return fmt.Errorf("%s runs already", g.Name)
 	}
-	p, err := StartProcess(g.Name, g.f.Bin, []string{"--appliance", g.file}, g.f.Env, g.f.log, func(line string) { g.f.History.heard(g.Name, line) })
+	env := append([]string{"DUNEMOOR_STOP_FILE=" + g.order()}, g.f.Env...)
+	p, err := StartProcess(g.Name, g.f.Bin, []string{"--appliance", g.file}, env, g.f.log, func(line string) { g.f.History.heard(g.Name, line) })
 	if err != nil {
 		return err
 	}
@@ -216,6 +217,25 @@
 	return g.process.Stop()
 }
 
+// order is the file by which a gateway is told to stop at a place.
+func (g *Gateway) order() string { return g.file + ".stop" }
+
+// StopAt has a gateway's process stop where it comes by a place the next time, and waits for it:
+// of a build with the tag planted, started with DUNEMOOR_STOP_AT naming the place.
+func (g *Gateway) StopAt(ctx context.Context, place string) error {
+	if err := os.WriteFile(g.order(), nil, 0o600); err != nil {
+		return err
+	}
+	_, _, err := g.f.History.Wait(ctx, g.f.History.Len(), func(e Event) bool { return e.Kind == Stopped && e.Gateway == g.Name && e.Cause == place })
+	if err != nil {
+		return fmt.Errorf("%s does not come by %s: %w", g.Name, place, err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	return nil
+}
+
 // Continue has it go on.
 func (g *Gateway) Continue() error {
 	g.mu.Lock()
--- a/internal/nemesis/hands.go
+++ b/internal/nemesis/hands.go
@@ -19,7 +19,7 @@
 	Deaf    Cause = "deaf"     // it is heard, and hears nothing
 	Mute    Cause = "mute"     // it hears, and is not heard
 	Planned Cause = "planned"  // an operator moves the duty
-	Leader  Cause = "leader"   // the leader of the record is killed beside the owner
+	Leader  Cause = "leader"   // the leader of the record, which is the owner too, is killed
 	EndsAll Cause = "sigterm"  // the owner is asked to end
 	AllDown Cause = "all down" // all gateways are killed and started again
 )
@@ -54,6 +54,17 @@
 	if owner == nil {
 		return 0, fmt.Errorf("nobody owns %s", duty)
 	}
+	if cause == Leader {
+		if owner = f.Leader(); owner == nil || owner == spare {
+			return 0, fmt.Errorf("the leader is nobody, or whom to spare")
+		}
+		if _, _, err := f.Gateways[0].Call("move", url.Values{"duty": {duty}, "to": {owner.Name}}); err != nil {
+			return 0, err
+		}
+		if err := f.Until(ctx, "the leader owns "+duty, handsMost, func() bool { return f.Owner(duty) == owner && f.Whole() }); err != nil {
+			return 0, err
+		}
+	}
 	n, began := f.History.Len(), f.History.Now()
 	if err := f.hit(cause, owner, duty, spare); err != nil {
 		return 0, err
@@ -83,7 +94,7 @@
 // hit puts the cause in.
 func (f *Fleet) hit(cause Cause, owner *Gateway, duty string, spare *Gateway) error {
 	switch cause {
-	case Kill:
+	case Kill, Leader:
 		owner.Kill()
 	case Stop:
 		return owner.Stop()
@@ -104,12 +115,6 @@
 			err = fmt.Errorf("move answers %d %s", status, text)
 		}
 		return err
-	case Leader:
-		lead := f.Leader()
-		owner.Kill()
-		if lead != nil && lead != spare {
-			lead.Kill()
-		}
 	case EndsAll:
 		_, err := owner.Terminate(handsMost)
 		return err
--- a/internal/nemesis/history.go
+++ b/internal/nemesis/history.go
@@ -10,6 +10,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -37,6 +38,8 @@
 	Lapsed    = "lapsed"
 	SetAside  = "set aside" // a disk that can't be trusted
 	HasFormed = "formed"
+	Fenced    = "fenced"  // an old owner's word was not taken
+	Stopped   = "stopped" // at a place, as it was told to
 )
 
 // History is what happened, in the order in which it was seen here.
@@ -121,11 +124,15 @@
 var kinds = map[string]string{
 	"duty taken up": TakenUp, "duty laid down": LaidDown, "duty changed hands": Changed, "leading the record": Leads,
 	"session lapsed": Lapsed, "the disk is set aside, this gateway joins as a new replica": SetAside, "fleet formed": HasFormed,
+	"word of an owner of before not taken": Fenced,
 }
 
 // heard takes a line of a gateway's log.
 func (h *History) heard(gateway, line string) {
 	e := Event{Gateway: gateway}
+	if place, ok := strings.CutPrefix(line, "stopped at "); ok {
+		e.Kind, e.Cause = Stopped, place
+	}
 	for _, m := range field.FindAllStringSubmatch(line, -1) {
 		v := m[2]
 		if u, err := strconv.Unquote(v); err == nil {
