A replica that was removed goes by the record's word, not by its own; operators' commands tested

Seen among processes: a gateway that was made a keeper and removed again showed the leader of then for good, as a replica hears nothing more once it is out; so it sent its questions there first, and the fleet never looked whole. Its own replica counts only while the record counts it.

dunemoorctl fleet is run against the processes (exit codes, refusals, add and remove), the file's mistakes and the key file have tests, ports of processes lie below those that outgoing connections take (one lost its port to a relay's connection).

--- a/internal/cluster/member/lead.go
+++ b/internal/cluster/member/lead.go
@@ -36,8 +36,8 @@
 
 // leader is the name of who leads, as this gateway's replica knows; "" where it does not.
 func (m *Member) leader() string {
-	if m.node.Halted() != nil || m.leadID == 0 {
-		return ""
+	if _, keeps := m.st.Keepers[m.cfg.Disk.Replica]; m.node.Halted() != nil || m.leadID == 0 || !keeps {
+		return "" // a replica that was removed hears of nobody any more
 	}
 	return m.replicas[m.leadID]
 }
--- a/internal/cluster/member/status.go
+++ b/internal/cluster/member/status.go
@@ -68,6 +68,9 @@
 		s.Expires = max(0, m.deadline-now).Milliseconds()
 	}
 	k, keeps := m.st.Keepers[m.cfg.Disk.Replica]
+	if m.view.index >= m.st.Index && len(m.view.keepers) > 0 && !slices.ContainsFunc(m.view.keepers, func(k lease.Keeper) bool { return k.Replica == m.cfg.Disk.Replica }) {
+		keeps = false // it was removed, and what it held of the record stands still since
+	}
 	switch err := m.node.Halted(); {
 	case err != nil:
 		s.Role, s.Why, keeps = "stopped", err.Error(), false
@@ -78,7 +81,7 @@
 	case keeps:
 		s.Role = "keeper"
 	}
-	if s.Leader == "" && !keeps {
+	if !keeps && s.Role != "stopped" || s.Leader == "" {
 		s.Leader, s.Term = m.view.lead, max(s.Term, m.view.term)
 	}
 	if keeps && m.st.Birth != 0 {
--- /dev/null
+++ b/internal/config/fleet_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const fleetExample = "../../deploy/fleet.toml"
+
+// The example is right, and each mistake in the fleet's part is a line with file, line and field.
+func TestFleetMistakes(t *testing.T) {
+	b, err := os.ReadFile(fleetExample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(b)
+	a, wrong := ParseAppliance("f", good)
+	if len(wrong) > 0 || a.Fleet.ID != "glasgow" || len(a.Fleet.Peers) != 2 || a.Fleet.Machine != "m1" || len(a.Fleet.First) != 3 {
+		t.Fatalf("%+v, %v", a, wrong)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`id = "glasgow"`, `id = "glas gow"`, `fleet.id: "glas gow" has ' ' in it`},
+		{`id = "glasgow"`, ``, "fleet.id: is missing"},
+		{`listen = "127.0.0.1:7401"`, `listen = "7401"`, `fleet.listen: "7401" is no address`},
+		{`"/var/lib/dunemoor/depot-1"`, `"depot-1"`, `fleet.data_dir: "depot-1" is no path from the root`},
+		{`key_file = "/etc/dunemoor/fleet.key"`, ``, "fleet.key_file: is missing"},
+		{`first = [`, `first = ["x", `, `fleet.first: "x" is neither a peer nor this gateway`},
+		{`first = [`, `first = ["depot-2", `, `fleet.first: "depot-2" is there twice`},
+		{`first = ["depot-1", "depot-2", "depot-3"]`, ``, "fleet.first: is missing"},
+		{`127.0.0.1:7403`, `127.0.0.1:7402`, `fleet.peer.address: "127.0.0.1:7402" is that of depot-2`},
+		{`address = "127.0.0.1:7402"`, ``, `fleet.peer.address: "" is no host:port`},
+		{`name = "depot-3"`, `name = "depot-2"`, `fleet.peer.name: "depot-2" is taken`},
+		{`machine = "m3"`, `machin = "m3"`, "there is no such setting"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		_, wrong := ParseAppliance("f", text)
+		said := fmt.Sprint(wrong)
+		if len(wrong) == 0 || !strings.Contains(said, c.want) || !strings.HasPrefix(wrong[0].Error(), "f:") {
+			t.Errorf("%s for %s: %v, want %q", c.new, c.old, wrong, c.want)
+		}
+	}
+}
+
+// A key that others can read, or that is too short, is refused.
+func TestReadKey(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	for _, c := range []struct {
+		text string
+		mode os.FileMode
+		want string
+	}{
+		{strings.Repeat("k", keyLeast) + "\n", 0o600, ""},
+		{strings.Repeat("k", keyLeast), 0o640, "others than its owner"},
+		{strings.Repeat("k", keyLeast-1) + "\n", 0o600, "31 bytes, 32 at least"},
+		{strings.Repeat("k", keyMost+1), 0o600, "4096 at most"},
+	} {
+		os.Remove(path)
+		if err := os.WriteFile(path, []byte(c.text), c.mode); err != nil {
+			t.Fatal(err)
+		}
+		if key, err := ReadKey(path); (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) || err == nil && len(key) != keyLeast {
+			t.Errorf("%d bytes, mode %o: %d, %v, want %q", len(c.text), c.mode, len(key), err, c.want)
+		}
+	}
+}
--- a/internal/nemesis/fleet.go
+++ b/internal/nemesis/fleet.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -90,6 +91,10 @@
 // key is the fleet's, of the test's own making.
 const key = "this key is of a test and of nothing else"
 
+// Ports for gateways lie below those that the system gives to connections that go out (from 32768
+// on, ip(7)): one of these could take a port while its gateway is down.
+const portLeast, portMost = 20000, 32000
+
 // reserve finds free ports of the loopback, held until all are found.
 func reserve(n int) ([]string, error) {
 	var list []string
@@ -99,14 +104,17 @@
 			ln.Close()
 		}
 	}()
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := portLeast + rand.IntN(portMost-portLeast); len(list) < n && port < 2*portMost; port++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", portLeast+port%(portMost-portLeast)))
 		if err != nil {
-			return nil, err
+			continue // it is taken
 		}
 		held = append(held, ln)
 		list = append(list, ln.Addr().String())
 	}
+	if len(list) < n {
+		return nil, fmt.Errorf("nemesis: no %d ports of the loopback are free from %d to %d", n, portLeast, portMost)
+	}
 	return list, nil
 }
 
--- a/internal/nemesis/nemesis_test.go
+++ b/internal/nemesis/nemesis_test.go
@@ -15,8 +15,8 @@
 )
 
 // built is the program, built once for all tests here; planted is it with the tag of that name,
-// in which guards can be taken out and a process told where to stop.
-var built, planted string
+// in which guards can be taken out and a process told where to stop; operators is their program.
+var built, planted, operators string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "nemesis")
@@ -24,8 +24,9 @@
 		panic(err)
 	}
 	built, planted = filepath.Join(dir, "dunemoor"), filepath.Join(dir, "planted")
-	for _, args := range [][]string{{"-o", built}, {"-o", planted, "-tags", "planted"}} {
-		if out, err := exec.Command("go", append(append([]string{"build"}, args...), "lynxspool/cmd/dunemoor")...).CombinedOutput(); err != nil {
+	operators = filepath.Join(dir, "dunemoorctl")
+	for _, args := range [][]string{{"-o", built, "lynxspool/cmd/dunemoor"}, {"-o", planted, "-tags", "planted", "lynxspool/cmd/dunemoor"}, {"-o", operators, "lynxspool/cmd/dunemoorctl"}} {
+		if out, err := exec.Command("go", append([]string{"build"}, args...)...).CombinedOutput(); err != nil {
 			panic(string(out))
 		}
 	}
@@ -58,6 +59,12 @@
 				t.Errorf("%s has ended by itself", g.Name)
 			}
 		}
+		if t.Failed() {
+			for _, g := range f.Gateways {
+				s, err := g.Status()
+				t.Logf("%s: %+v, %v", g.Name, s, err)
+			}
+		}
 		f.Close()
 		if t.Failed() {
 			t.Log(f.Log())
@@ -105,6 +112,28 @@
 	f := start(t, Options{Gateways: 5, Keepers: 3, Nodes: 3, Seed: 1})
 	spare := f.Gateways[4]
 	load(t, f, spare)
+	ctl := func(code int, want string, args ...string) {
+		t.Helper()
+		cmd := exec.Command(operators, append([]string{"fleet", "--admin", f.Gateways[0].admin}, args...)...)
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != code || !strings.Contains(string(out), want) {
+			t.Errorf("%q ends with %d: %s", args, cmd.ProcessState.ExitCode(), out)
+		}
+	}
+	ctl(0, "g1 of fleet trial: ", "status")
+	ctl(0, `"duties": [`, "status", "--json")
+	ctl(0, "list/calendar", "duties")
+	ctl(0, "GATEWAY", "members")
+	ctl(2, "refused: there is no duty nothing", "move", "nothing", "g2")
+	ctl(2, "refused: g9 is no living member", "move", "list/calendar", "g9")
+	ctl(2, "refused: g4 does not hold the record", "remove", "g4")
+	ctl(0, "done", "add", "g4")
+	f.Keepers++
+	whole(t, f)
+	ctl(0, "done", "remove", "g4")
+	f.Keepers--
+	whole(t, f)
+	ctl(1, "accepts 2 arg", "move", "list/calendar")
 	for _, cause := range Causes {
 		gap, err := f.Hands(context.Background(), cause, "list/calendar", spare)
 		if err != nil {
