--- a/internal/nemesis/fleet.go
+++ b/internal/nemesis/fleet.go
@@ -237,7 +237,7 @@
 		return err
 	}
 	_, _, err := g.f.History.Wait(ctx, g.f.History.Len(), func(e Event) bool { return e.Kind == Stopped && e.Gateway == g.Name && e.Cause == place })
-	if err != nil {
+	if err != nil && os.Remove(g.order()) == nil { // else it has just taken the order
 		return fmt.Errorf("%s does not come by %s: %w", g.Name, place, err)
 	}
 	g.mu.Lock()
