A reset is no end of an answer without a length: a broken connection stays broken

Cause: the kernel tells of a reset by one failed read; reads behind it say end of file. holdOpen (internal/host/http1/flow.go) looks ahead with Peek for at most 25 ms and looks only for a deadline in what Peek returns; bufio forgets an error that it has returned. So the reset went to nobody, the read behind it said io.EOF, and for an answer that ends with its connection that is "whole". Ruled out: answers that flow (their first failed read is passed on), chunks and lengths (an end within them is unexpected either way).

Change: conn.Read keeps the first error other than a deadline and gives it to all reads behind it, so no look ahead can lose it, here or elsewhere.

Measured: TestResetIsNoEndOfAnAnswer: without the mend four of its seven cases are served as whole (behind the head, in the body, behind all of it, in a long one), with it all are resets.

--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -116,6 +117,7 @@
 	started int64
 	reused  bool
 	gap     time.Duration     // that a read may take; 0: any
+	broken  error             // why nothing can be read any more, once a read has said so
 	limit   *io.LimitedReader // guards against an answer without end
 	in      *bufio.Reader
 	proto   string            // of the answer read last
@@ -123,12 +125,21 @@
 	idleAt  time.Time
 }
 
-// Read reads from the connection, within the gap if one is set.
+// Read reads from the connection, within the gap if one is set. The kernel tells of a reset once,
+// and says end of file to the reads behind it; buffers drop an error that a look ahead has met. So
+// it is kept: where the end of the connection is the end of the answer, a reset must not pass for it.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.broken != nil {
+		return 0, c.broken
+	}
 	if c.gap > 0 {
 		c.SetReadDeadline(time.Now().Add(c.gap))
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.broken = err
+	}
+	return n, err
 }
 
 // within sets the gap of the reads that follow; 0: they may take any time.
--- a/internal/host/http1/transport_test.go
+++ b/internal/host/http1/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lynxspool"
 	"lynxspool/internal/body"
 	"lynxspool/internal/engine"
@@ -289,6 +292,81 @@
 	}
 }
 
+// Where the end of the connection is that of the answer, a reset is none: however much has come
+// before it, within what is held or behind it, it is not served as whole.
+func TestResetIsNoEndOfAnAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	for name, tt := range map[string]struct {
+		text  string
+		flows bool // the part that is held has come to an end before the reset
+	}{
+		"behind the head":    {head, false},
+		"in the body":        {head + "go", false},
+		"behind all of it":   {head + "good", false},
+		"in a long one":      {head + strings.Repeat("good", maxBody/8), false},
+		"in one that flows":  {head + "go", true},
+		"in chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n", false},
+		"in chunks, flowing": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, flows := newTestPool(), make(chan struct{})
+			server := testkit.NewHost(t, func(c net.Conn, r *http.Request, n int) bool {
+				io.WriteString(c, tt.text)
+				if tt.flows {
+					<-flows
+				} else if err := unread(c); err != nil {
+					t.Error(err)
+				}
+				return testkit.BreakOff(c, r, n)
+			})
+			h := pooled(p, server.Addr())
+			got, a := tryOnce(t, p, h, newExchange("b"))
+			close(flows)
+			if !tt.flows {
+				if got != lynxspool.Reset {
+					t.Errorf("result %v, want Reset", got)
+				}
+				return
+			}
+			if got != lynxspool.OK || a.Body.Whole() {
+				t.Fatalf("result %v, want OK with a body that flows", got)
+			}
+			flow := a.Body.Flow()
+			if err := flow.Take(); err != nil {
+				t.Fatal(err)
+			}
+			b := make([]byte, 64)
+			n, err := flow.Read(b)
+			for n > 0 && err == nil {
+				n, err = flow.Read(b)
+			}
+			if err == nil || err == io.EOF {
+				t.Errorf("it ends with %v", err)
+			}
+			a.Release()
+		})
+	}
+}
+
+// unread waits until the other side has taken all that was written to a connection: a reset would
+// go past what it has not.
+func unread(c net.Conn) error {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	for left, until := 1, time.Now().Add(testkit.Patience); left > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			return errors.New("what was written stays unread")
+		}
+		var bad error
+		if err := raw.Control(func(fd uintptr) { left, bad = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }); err != nil || bad != nil {
+			return errors.Join(err, bad)
+		}
+	}
+	return nil
+}
+
 func TestConnectionRefused(t *testing.T) {
 	p := newTestPool()
 	ln := testkit.Listen(t, "127.0.0.1:0", nil)
