Requests under way at SIGTERM are due by the exit: due, written and ended are three instants

Cause: Gate.Stop stored the exit and only Entry.due read it, for what arrived later. A request that was under way kept its own deadline, up to 0.4 s behind the exit, and Server.Stop ended the process over it. Answers due at the exit itself raced the process's end: both were the same instant.

Change: engine.Stop owns the exit. Do brings every open request under it, also one whose body still flows; what comes later is capped where it is handed to the module; the module is told by a new event, Stop (recorded, kind 9), so that it refuses at that time what may be asked elsewhere. The gate keeps no time any more. Before the kill there are now three instants: dueMargin (200 ms) ahead all answers are due, then they are written, exitMargin (50 ms) ahead the process ends.

Tests, each fails without: TestStopAnswersWhatHangs (process: lost, unexpected EOF), TestExitIsDueForAll (engine, virtual time: answers after 3.99 s in place of 1 s), TestStopIsDueForWhatIsOpen (module), TestStopAndHintAreRecorded.

--- a/balancer.go
+++ b/balancer.go
@@ -13,7 +13,11 @@
 // ready hosts the one with the lower estimate x (own pending + 1) gets the
 // request. Departures from it decide who is ready, and each says when it acts.
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+)
 
 // The constants, each relative to settings or to what is measured.
 const (
@@ -313,6 +317,18 @@
 	}
 }
 
+// Stop says that the gateway ends: what is open is due by then, however long its client would
+// wait. Requests that come later come with no more time than that.
+func (b *Balancer) Stop(now, by Time) {
+	b.now = now
+	for _, id := range slices.Sorted(maps.Keys(b.reqs)) {
+		if r := b.reqs[id]; !r.done && r.deadline > by {
+			r.deadline = max(now, by)
+			b.wake(max(now, by-answerSteps*b.set.Step), tokenAnswer<<tokenShift|uint64(id))
+		}
+	}
+}
+
 // Timer is a Wake that has come due.
 func (b *Balancer) Timer(now Time, token uint64) {
 	b.now = now
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -681,8 +681,38 @@
 	}
 }
 
-// serra rough-2: a host that takes requests and answers none kept its old
-// estimate until the deadlines.
+// A gateway that ends owes what is open its answer by then, however long its clients would wait:
+// a refusal where nothing can have come of it, a failure else. Requests due sooner keep their time.
+func TestStopIsDueForWhatIsOpen(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	sent := map[RequestID]int{}
+	for class := range g.b.set.Classes {
+		sent[g.request(class, time.Second)] = class
+	}
+	soon := g.request(0, 200*ms)
+	by := g.now + 500*ms
+	g.b.Stop(g.now, by)
+	g.drain()
+	for _, a := range g.advance(300 * ms) {
+		if a.Kind == Refuse && a.Request != soon || a.Kind == Fail {
+			t.Errorf("request %d is answered 200 ms before it is due: %+v", a.Request, a)
+		}
+	}
+	answers := 0
+	for _, a := range g.advance(by - g.now) {
+		if a.Kind != Refuse && a.Kind != Fail {
+			continue
+		}
+		answers++
+		if class, ok := sent[a.Request]; !ok || (class == 0) != (a.Kind == Refuse) || a.Why != CauseDeadline {
+			t.Errorf("request %d of class %d: %+v", a.Request, class, a)
+		}
+	}
+	if answers != len(sent) {
+		t.Errorf("%d of %d requests have their answer by the exit", answers, len(sent))
+	}
+}
+
 // A hint brings the trial forward to a random moment within the time given, and only once until
 // the host answers: whoever is wrong costs one trial.
 func TestHint(t *testing.T) {
--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -280,6 +281,44 @@
 	}
 }
 
+// A request that was out before SIGTERM, with more time left than the gateway has, is answered
+// before the exit though its host hangs.
+func TestStopAnswersWhatHangs(t *testing.T) {
+	got := make(chan struct{})
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body) // a server sees its client leave behind the body only
+		close(got)
+		<-r.Context().Done()
+	}))
+	defer host.Close()
+	text := strings.ReplaceAll(platformConfig(strings.TrimPrefix(host.URL, "http://")), "2000000", "60000000")
+	p := start(t, text, freeAddr(t))
+	p.ready(t)
+	c, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, "POST /api/1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: hang-1\r\nX-Priority-Class: book\r\n"+
+		"X-Timeout: 60\r\nContent-Length: 1\r\n\r\nx")
+	<-got
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("lost: %v", err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 502 {
+		t.Errorf("status %d, %v", resp.StatusCode, err)
+	}
+	<-p.exited
+	if code := p.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d: %s", code, p.out.String())
+	}
+}
+
 // A gateway that was killed starts again from nothing under its address, and serves
 // from the list it last had, though discovery is down.
 func TestRestart(t *testing.T) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,6 +26,7 @@
 	events chan func(now lynxspool.Time)
 	done   chan struct{} // closed when Run has returned
 	plan   atomic.Pointer[Plan]
+	exit   exit
 	clock  clock
 	// Overload, if set before Run, is told what requests wait for the loop.
 	Overload *overload.Controller
@@ -46,11 +47,40 @@
 func New(seed uint64) *Engine {
 	return &Engine{
 		events: make(chan func(lynxspool.Time), eventsWaiting), done: make(chan struct{}),
-		clock: clock{time.Now()}, pools: map[*Pool]struct{}{},
+		exit: exit{set: make(chan struct{})}, clock: clock{time.Now()}, pools: map[*Pool]struct{}{},
 		open: map[lynxspool.RequestID]*Request{}, rng: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
+// exit is by when all answers are due, once the gateway ends.
+type exit struct {
+	at  atomic.Pointer[time.Time]
+	set chan struct{} // closed once at is there
+}
+
+// by is nil while no exit is set.
+func (x *exit) by() *time.Time {
+	if x == nil {
+		return nil
+	}
+	return x.at.Load()
+}
+
+// Stop has all answers due by a time: of what is open, also where its body is still on its way,
+// and of what is yet to come. A second call changes nothing.
+func (e *Engine) Stop(by time.Time) {
+	if !e.exit.at.CompareAndSwap(nil, &by) {
+		return
+	}
+	close(e.exit.set)
+	e.post(func(now lynxspool.Time) {
+		for p := range e.pools {
+			p.bal.Stop(now, e.clock.at(by))
+			p.perform(now)
+		}
+	})
+}
+
 // Run handles events until ctx ends; then it ends all attempts.
 func (e *Engine) Run(ctx context.Context) {
 	defer close(e.done)
@@ -97,14 +127,16 @@
 // nobody waits, and nothing more goes out for it. The caller releases the answer, and closes
 // the flow of the request's body, if it has one.
 func (e *Engine) Do(ctx context.Context, x *Request) (a Answer, there bool) {
-	x.answer = make(chan Answer, 1)
-	wait := time.Until(x.Deadline)
+	x.answer, x.exit = make(chan Answer, 1), &e.exit
 	if f := x.Body.Flow(); f != nil {
-		x.came = make(chan time.Time, 1)
+		x.came = make(chan struct{}, 1)
 		f.OnBegin(func() { e.post(func(now lynxspool.Time) { e.letGo(now, x) }) })
-		if _, known := x.Due(); !known {
-			wait = uploadMost // its own pace ends it sooner
+	}
+	wait := func() time.Duration {
+		if due, known := x.Due(); known {
+			return time.Until(due)
 		}
+		return uploadMost // its own pace ends it sooner
 	}
 	came := time.Now()
 	e.post(func(now lynxspool.Time) {
@@ -115,14 +147,18 @@
 		}
 		e.submit(now, x)
 	})
-	late := time.NewTimer(wait)
+	exit := e.exit.set
+	late := time.NewTimer(wait())
 	defer late.Stop()
 	for {
 		select {
 		case a = <-x.answer:
 			return a, true
-		case due := <-x.came:
-			late.Reset(time.Until(due))
+		case <-x.came:
+			late.Reset(wait())
+		case <-exit:
+			exit = nil
+			late.Reset(wait())
 		case <-ctx.Done():
 			if x.Close() {
 				e.abandon(x)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -146,7 +147,7 @@
 	p, err := w.NewPool(PoolConfig{
 		Name: f.name, Transport: f, Seed: 3, Stop: func() { w.ended[f.name]++ },
 		Settings: lynxspool.Settings{
-			Instances: 1, Classes: testClasses, MaxAttempts: 4, Cancel: true, MaxRetryAfter: 5 * time.Second,
+			Instances: 1, Classes: testClasses, Step: 5 * time.Millisecond, MaxAttempts: 4, Cancel: true, MaxRetryAfter: 5 * time.Second,
 			ColdFrom: 0.4, WarmAfter: 6 * time.Second, OverloadFactor: 2.5, Fall: 1500 * time.Millisecond,
 		},
 	})
@@ -589,6 +590,49 @@
 	})
 }
 
+// endless is a body of which one byte has come, and no other will.
+type endless struct{ closed chan struct{} }
+
+func (s *endless) Read([]byte) (int, error) { <-s.closed; return 0, body.ErrTaken }
+func (s *endless) Trailer() http.Header     { return nil }
+func (s *endless) Close(bool)               { close(s.closed) }
+
+// Once the gateway ends all is due by its exit: what is out at hosts that answer none, what its
+// client has yet to send to its end, and what comes later. The module knows, and refuses what
+// can be asked elsewhere.
+func TestExitIsDueForAll(t *testing.T) {
+	inWorld(t, func(w *world) {
+		f := newFake("a", says(200, time.Hour))
+		p := w.pool(f, 3)
+		w.use(testRoute(false), nil, p)
+		began, most := time.Now(), time.Second
+		var all sync.WaitGroup
+		ask := func(what string, class int, b body.Body, want Kind) {
+			all.Go(func() {
+				plan := w.Plan()
+				defer plan.Release()
+				x := &Request{Method: "POST", Route: plan.routes[0], Class: class, Body: b, Deadline: time.Now().Add(4 * time.Second)}
+				a, there := w.Do(context.Background(), x)
+				if took := time.Since(began); !there || a.Kind != want || took > most || took < most/2 {
+					t.Errorf("%s: %t, kind %d, want %d, after %v", what, there, a.Kind, want, took)
+				}
+			})
+		}
+		ask("safe", look, body.Body{}, Refused)
+		ask("unsafe", book, body.Body{}, Failed)
+		slow := body.NewFlow(&endless{make(chan struct{})}, 1<<20)
+		ask("on its way", book, body.Flowing([]byte("x"), slow), Failed)
+		synctest.Wait()
+		w.Stop(began.Add(most))
+		ask("behind", look, body.Body{}, Refused)
+		all.Wait()
+		slow.Close()
+		if synctest.Wait(); p.Inside() != 0 {
+			t.Errorf("%d requests are kept", p.Inside())
+		}
+	})
+}
+
 // The client has its one answer in time even if the loop is stuck, and nothing goes out behind
 // it that was not out before.
 func TestAnswerWhenTheLoopIsLate(t *testing.T) {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -235,11 +235,19 @@
 	p.inside.Add(1)
 	p.bal.Request(now, lynxspool.Request{
 		ID: x.id, Class: x.Class, Tenant: x.Tenant, Repeat: x.Repeat,
-		Left: max(0, e.clock.at(x.Deadline)-now),
+		Left: max(0, e.clock.at(e.capped(x.Deadline))-now),
 	})
 	p.perform(now)
 }
 
+// capped is a time, or the exit where that comes before it.
+func (e *Engine) capped(at time.Time) time.Time {
+	if by := e.exit.by(); by != nil && at.After(*by) {
+		return *by
+	}
+	return at
+}
+
 // Retune has the pool's module take over new settings, and puts a plan into use that goes with
 // them, in one step. settle is called in the loop, with what says whether a request may be under
 // the number of a class still; its plan has the pool in it. It returns once that is done.
@@ -360,7 +368,7 @@
 		p.denied = append(p.denied, lynxspool.Outcome{Request: x.id, Attempt: n, Result: lynxspool.NotSent, Closed: x.Over()})
 		return
 	}
-	until := x.Deadline
+	until := e.capped(x.Deadline)
 	if at := e.clock.time(a.At); a.At > 0 && at.Before(until) {
 		until = at
 	}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -36,11 +36,12 @@
 	Deadline time.Time // when its answer is due
 	Key      string    // what a split keeps together; "": chance
 
-	came   chan time.Time // of the last byte of a body that flows, and when its answer is due
-	due    atomic.Int64   // when the answer is due once that has come, by since; 0: not yet
-	loose  bool           // a byte of its body has been let go: nothing of it can be sent again; the loop's
-	over   atomic.Bool    // it is answered or nobody waits: set once, by Close
-	answer chan Answer    // holds the answer that finish was won with
+	came   chan struct{} // the last byte of a body that flows has come
+	due    atomic.Int64  // when the answer is due once that has come, by since; 0: not yet
+	loose  bool          // a byte of its body has been let go: nothing of it can be sent again; the loop's
+	over   atomic.Bool   // it is answered or nobody waits: set once, by Close
+	exit   *exit         // by when all is due once the gateway ends; nil: it is at no engine
+	answer chan Answer   // holds the answer that finish was won with
 
 	// The rest belongs to the loop.
 	id        lynxspool.RequestID
@@ -66,21 +67,23 @@
 func (x *Request) Came(due time.Time) {
 	x.due.Store(int64(due.Sub(epoch)))
 	select {
-	case x.came <- due:
+	case x.came <- struct{}{}:
 	default: // it is over, or has been said
 	}
 }
 
-// Due is when the answer is due: the Deadline, or later where a body has come since. known is
-// false while it is still coming: then nothing is due yet.
+// Due is when the answer is due: the Deadline, or later where a body has come since, and the exit
+// at the latest. known is false while the body is still coming and no exit is set: then nothing
+// is due yet.
 func (x *Request) Due() (at time.Time, known bool) {
-	if x.Body.Whole() {
-		return x.Deadline, true
+	at, known = x.Deadline, x.Body.Whole()
+	if d := x.due.Load(); !known && d != 0 {
+		at, known = epoch.Add(time.Duration(d)), true
 	}
-	if d := x.due.Load(); d != 0 {
-		return epoch.Add(time.Duration(d)), true
+	if by := x.exit.by(); by != nil && (!known || at.After(*by)) {
+		return *by, true
 	}
-	return x.Deadline, false
+	return at, known
 }
 
 // Left is the time until its answer is due.
--- a/internal/flight/flight_test.go
+++ b/internal/flight/flight_test.go
@@ -91,6 +91,39 @@
 	return true, false
 }
 
+// What ends a gateway and what is hinted at is read back as it was told.
+func TestStopAndHintAreRecorded(t *testing.T) {
+	s := day(1, 1)
+	bal, err := lynxspool.New(s.Settings, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := lynxspool.Time(time.Hour)
+	r, err := New(bal, Start{Settings: s.Settings, Seed: 1, At: now}, 1, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Start(now)
+	r.Hint(now+ms, 7, 20*ms)
+	r.Stop(now+2*ms, now+3*time.Second)
+	var got []Event
+	in := NewReader(bytes.NewReader(r.Dump(nil)))
+	for it := new(Item); ; {
+		err := in.Next(it)
+		if err == io.EOF {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		if it.Kind == ItemEvent {
+			got = append(got, it.Event)
+		}
+	}
+	if len(got) != 3 || got[1].Hint != (Hint{7, 20 * ms}) || got[2].Kind != EventStop || got[2].By != now+3*time.Second {
+		t.Errorf("read back as %+v", got)
+	}
+}
+
 // record plays a day with a Recorder in between.
 func record(t testing.TB, s *Sim, seed uint64, opts Options) (*Recorder, *Summary) {
 	t.Helper()
--- a/internal/flight/format.go
+++ b/internal/flight/format.go
@@ -49,6 +49,7 @@
 	recGone    = 6
 	recTimer   = 7
 	recHint    = 8
+	recStop    = 9
 	recAction  = 16 // + ActionKind
 	recView    = 32
 	recName    = 33
--- a/internal/flight/reader.go
+++ b/internal/flight/reader.go
@@ -40,6 +40,7 @@
 	EventGone    EventKind = recGone
 	EventTimer   EventKind = recTimer
 	EventHint    EventKind = recHint
+	EventStop    EventKind = recStop
 )
 
 // Event is one event as it was told to the module. Only the fields of its kind are set.
@@ -53,6 +54,7 @@
 	Outcome lynxspool.Outcome
 	Token   uint64
 	Hint    Hint
+	By      lynxspool.Time // of Stop
 }
 
 // Hint is that a host that was given up may be worth a try.
@@ -80,6 +82,8 @@
 		m.Timer(e.At, e.Token)
 	case EventHint:
 		m.Hint(e.At, e.Hint.Host, e.Hint.Within)
+	case EventStop:
+		m.Stop(e.At, e.By)
 	}
 }
 
@@ -340,6 +344,8 @@
 		e.Token = t.uv()
 	case recHint:
 		e.Hint = Hint{lynxspool.HostID(t.u64()), lynxspool.Time(t.iv())}
+	case recStop:
+		e.By = r.now + lynxspool.Time(t.iv())
 	case recView:
 		it.Kind = ItemView
 		n := t.uv()
--- a/internal/flight/recorder.go
+++ b/internal/flight/recorder.go
@@ -17,6 +17,7 @@
 	Gone(now lynxspool.Time, id lynxspool.RequestID)
 	Timer(now lynxspool.Time, token uint64)
 	Hint(now lynxspool.Time, id lynxspool.HostID, within lynxspool.Time)
+	Stop(now, by lynxspool.Time)
 	Retune(now lynxspool.Time, set lynxspool.Settings, from []int) error
 	Drain(dst []lynxspool.Action) []lynxspool.Action
 }
@@ -274,6 +275,13 @@
 	r.bal.Hint(now, id, within)
 }
 
+// Stop is the module's, recorded.
+func (r *Recorder) Stop(now, by lynxspool.Time) {
+	r.event(now, recStop, maxRecord)
+	r.block = iv(r.block, int64(by-now))
+	r.bal.Stop(now, by)
+}
+
 // Classes names the classes that a Retune brings, for those who read.
 func (r *Recorder) Classes(names []string) { r.first.Classes = names }
 
--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -94,11 +94,11 @@
 	// Limits are set before the first request; nil: there are none.
 	Limits *Limits
 
-	waits  atomic.Bool                 // for the list of hosts, before it first serves
-	drain  atomic.Pointer[drain.Drain] // nil: none is on
-	begun  chan struct{}               // holds an item when a drain has begun
-	ids    ids
-	exitAt atomic.Pointer[time.Time] // set once stopping: all answers are due by then
+	waits    atomic.Bool                 // for the list of hosts, before it first serves
+	drain    atomic.Pointer[drain.Drain] // nil: none is on
+	begun    chan struct{}               // holds an item when a drain has begun
+	ids      ids
+	stopping atomic.Bool
 }
 
 // NewGate returns a Gate.
@@ -150,8 +150,11 @@
 // most of these 2 s are over; what comes within the rest ends its connection with its answer.
 var drainTimes = drain.Times{Leave: 1500 * time.Millisecond, Close: 1900 * time.Millisecond}
 
-// Stop has all answers due by a time.
-func (g *Gate) Stop(exitAt time.Time) { g.exitAt.Store(&exitAt) }
+// Stop has all answers due by a time, also those of requests that came before.
+func (g *Gate) Stop(by time.Time) {
+	g.stopping.Store(true)
+	g.Engine.Stop(by)
+}
 
 // Entry is a request on its way in, and then at the engine.
 type Entry struct {
@@ -421,11 +424,7 @@
 func (e *Entry) ArrivedLate(at time.Time) { e.Request.Came(e.due(at)) }
 
 func (e *Entry) due(at time.Time) time.Time {
-	due := at.Add(e.left - answerMargin)
-	if exit := e.gate.exitAt.Load(); exit != nil && due.After(*exit) {
-		due = *exit
-	}
-	return due
+	return at.Add(e.left - answerMargin)
 }
 
 // End is called when the client has its answer, or has gone.
@@ -449,7 +448,7 @@
 
 // Health says whether requests can be served, and which pools can't serve theirs.
 func (g *Gate) Health() (ok bool, text string) {
-	if g.exitAt.Load() != nil {
+	if g.stopping.Load() {
 		return false, "stopping\n"
 	}
 	if s, _ := g.Draining(); s != drain.Serving {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -46,15 +46,18 @@
 	// Clients still come for up to 0.4 s after SIGTERM, and what waits in the
 	// listener's backlog counts as taken: lingerTime is that and room to accept it.
 	lingerTime = 600 * time.Millisecond
-	// At this long after SIGTERM and the longest deadline (exitDeadline at most), the
-	// gateway is killed; stopMargin is left for the last answers to get out.
-	exitTime     = 700 * time.Millisecond
-	exitDeadline = 3 * time.Second
-	stopMargin   = 100 * time.Millisecond
+	// At killTime after SIGTERM and the longest deadline (killDeadline at most), the gateway is
+	// killed. Three instants come before that, in this order: dueMargin ahead of it all answers
+	// are due, so that those due at once can be written on a shared core; they are written; and
+	// exitMargin ahead of it the process ends, whatever its clients have still to take.
+	killTime     = 700 * time.Millisecond
+	killDeadline = 3 * time.Second
+	dueMargin    = 200 * time.Millisecond
+	exitMargin   = 50 * time.Millisecond
 	// Clients use the connections that they have for as long as these stay open, and may
 	// have no other gateway to go to. So they are asked to leave only leaveTime before
-	// the exit: most connections in use carry a request within it. At closeTime before the
-	// exit those without one are closed; most requests out then are still answered.
+	// all answers are due: most connections in use carry a request within it. At closeTime before
+	// that those without one are closed; most requests out then are still answered.
 	leaveTime = 300 * time.Millisecond
 	closeTime = 100 * time.Millisecond
 
@@ -248,8 +251,9 @@
 // Where another process shares the listeners it takes nothing new from them, and clients are
 // asked to leave from the start.
 func (s *Server) Stop() {
-	exitAt := time.Now().Add(exitTime + min(time.Duration(s.longest.Load()), exitDeadline) - stopMargin)
-	s.gate.Stop(exitAt)
+	kill := time.Now().Add(killTime + min(time.Duration(s.longest.Load()), killDeadline))
+	due := kill.Add(-dueMargin)
+	s.gate.Stop(due)
 	s.stopping.Store(true)
 	if s.shared {
 		s.leaving.Store(true) // whoever comes back meets the process that takes over
@@ -262,17 +266,17 @@
 		ln.Close() // it can fail only by being closed
 	}
 	s.mu.Unlock()
-	s.wait(s.clients.inUse, exitAt.Add(-leaveTime))
+	s.wait(s.clients.inUse, due.Add(-leaveTime))
 	s.leaving.Store(true)
 	if s.shared {
 		s.clients.closeUnused()
 	}
 	close(s.leave)
-	s.wait(s.clients.inUse, exitAt.Add(-closeTime))
+	s.wait(s.clients.inUse, due.Add(-closeTime))
 	s.wait(func() bool {
 		s.clients.closeUnused()
 		return s.clients.busy()
-	}, exitAt)
+	}, kill.Add(-exitMargin))
 }
 
 // wait returns when what it is given no longer holds, or at the time until.
