One goroutine ends a resting connection, its own; a last answer is followed by a lingering close

Need: bytes may arrive in the very moment in which a connection is shut or closed. Read from the code, proven by tests: - closeUnused and makeRoom (clients.go) closed from another goroutine. A reader that had taken a request off the socket and then lost the swap of `use` dropped it: EOF with no answer, for bytes that were read (TestRequestReadAsItsConnectionIsToldToEnd). - At a deadline (idle, or the first request's) nothing looked again: what had come in that instant was reset by the close (TestRequestInTheInstantOfAnEnd). - run() closed right behind an answer with Connection: close, or a body not read to its end; with bytes unread that resets the connection, and the reset can overtake the answer (TestLastAnswerBeforeMore). Only errors lingered.

Change: others only tell a connection to end, by its state and a read deadline that has passed; its own goroutine looks once more for bytes, serves what is a request and ends behind it, else shuts its sending side, reads out what comes for drainTime and drainBytes and closes. Every ordinary end goes this way (finish); turnAway and the end of an upload use it in place of their own. Those that are heard stand in the line `spent`, from which room is made first, and are no crowd; those told to make room close at once and are counted apart (ending), and accept waits while there are more than Spare of them, so descriptors stay bounded. `use` is guarded by the lock instead of swaps.

TestClosedForRoomBringsNothing is replaced: it asserted that a request which came before the close is dropped, which is the fault. What it guarded (nothing goes out behind the end) is TestRequestBehindTheEnd, on both ways of being told and for first and later requests.

With the mends taken out: without the last look TestRequestInTheInstantOfAnEnd fails, without the reading out TestLastAnswerBeforeMore, without taking back what was told to make room both of the others. Without CloseWrite alone no test fails (clients see the end 0.5 s later): no guard yet.

--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -14,7 +14,6 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,7 +31,6 @@
 	*net.TCPConn
 	raw  syscall.RawConn
 	id   uint64 // among those watched for leaving
-	use  atomic.Int32
 	opts *ListenOptions
 
 	client netip.Addr // whom the PROXY header names
@@ -46,12 +44,14 @@
 	readErr error
 	try     func(fd uintptr) bool // tryRead, made once
 
+	last   bool      // it was told to end when this request was there already
 	idleBy time.Time // the read deadline that stands, if it is that of a wait for a request; else zero
 	out    body.Alarm
 
 	exchange
 
 	// clients.mu guards these.
+	use   use
 	in    *list.List
 	place *list.Element
 	since time.Time
@@ -135,6 +135,14 @@
 		}
 		return c.readErr
 	}
+	c.grow()
+	n, err := c.TCPConn.Read(c.buf[c.w:])
+	c.w += n
+	return err
+}
+
+// grow makes room behind what is buffered.
+func (c *clientConn) grow() {
 	if c.r > 0 {
 		c.r, c.w = 0, copy(c.buf, c.buf[c.r:c.w])
 	}
@@ -144,9 +152,34 @@
 		c.free()
 		c.buf, c.w = more, n
 	}
-	n, err := c.TCPConn.Read(c.buf[c.w:])
-	c.w += n
-	return err
+}
+
+// look reads what is there, whatever deadline has passed, and says whether that was anything.
+func (c *clientConn) look() bool {
+	had := c.buffered()
+	c.raw.Control(func(fd uintptr) { // it fails where the connection is closed
+		if c.buf == nil {
+			c.tryRead(fd)
+			return
+		}
+		c.grow()
+		for {
+			n, err := syscall.Read(int(fd), c.buf[c.w:])
+			if err == syscall.EINTR {
+				continue
+			}
+			c.w += max(n, 0)
+			return
+		}
+	})
+	return c.buffered() > had
+}
+
+// more reads what comes next. What has come in the instant in which the wait for it ends, by its
+// deadline or as the connection is told to end, has come.
+func (c *clientConn) more() bool {
+	err := c.fill()
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded) && c.look()
 }
 
 // Read reads from the connection, first what is buffered.
@@ -216,52 +249,76 @@
 			slog.Error("a request's handling broke off", "cause", p, "stack", string(debug.Stack()))
 		}
 	}()
-	c.SetReadDeadline(time.Now().Add(requestTimeout))
 	if err := c.begin(); err != nil {
 		return
 	}
-	for first := true; ; first = false {
-		if !first && c.buffered() == 0 {
-			if !s.await(c) {
-				return
-			}
-		}
-		bad := s.readHead(c, first)
-		if bad == errNoRequest {
-			return
-		}
-		if first && !c.use.CompareAndSwap(connFree, connTaken) {
-			return // closed to make room, just now
-		}
-		s.clients.track(c, http.StateActive)
-		if bad != nil {
-			s.turnAway(c, bad)
-			return
-		}
-		if !s.serve(c, time.Now()) || c.close || !s.finishBody(c) || c.ctx.Err() != nil {
-			return
-		}
-		c.req.Header = nil
+	for first := true; s.next(c, first); first = false {
 	}
 }
 
+// next serves the next request, and says whether another may come.
+func (s *Server) next(c *clientConn, first bool) bool {
+	if !first && c.buffered() == 0 && !s.await(c) {
+		s.finish(c, drainTime, drainBytes)
+		return false
+	}
+	bad := s.readHead(c, first)
+	if bad == errNoRequest {
+		s.finish(c, drainTime, drainBytes)
+		return false
+	}
+	if first {
+		s.clients.take(c)
+	}
+	if bad != nil {
+		s.turnAway(c, bad)
+		return false
+	}
+	if !s.serve(c, time.Now()) {
+		return false
+	}
+	if c.close || !s.finishBody(c) {
+		s.finish(c, drainTime, drainBytes)
+		return false
+	}
+	c.req.Header = nil
+	return c.ctx.Err() == nil
+}
+
 // end closes a connection and forgets it.
 func (s *Server) end(c *clientConn) {
-	s.clients.track(c, http.StateClosed)
+	s.clients.gone(c)
 	s.leavers.drop(c)
 	c.TCPConn.Close()
 	c.left()
 }
 
+// finish ends a connection in order (a lingering close): our side first, then what its client still
+// sends is read and dropped, for a time and so many bytes. A close with bytes unread resets the
+// connection, and the reset may overtake the last answer. Nothing that is read here is a request:
+// whoever sent it sees the end come across it. If a part of this fails the client has gone.
+func (s *Server) finish(c *clientConn, most time.Duration, bytes int64) {
+	c.CloseWrite()
+	c.SetReadDeadline(time.Now().Add(most)) // ahead of spend, behind which it may be woken
+	if s.clients.spend(c) {
+		c.free()
+		io.CopyN(io.Discard, c.TCPConn, bytes)
+	}
+}
+
 // await waits for the next request, and says whether its first bytes have come.
 func (s *Server) await(c *clientConn) bool {
-	s.clients.track(c, http.StateIdle)
 	// One deadline serves many requests: it is set anew when less than idleTimeout is left of it.
 	if now := time.Now(); c.idleBy.Sub(now) < idleTimeout {
 		c.idleBy = now.Add(idleTimeout + idleTimeout/4)
 		c.SetReadDeadline(c.idleBy)
 	}
-	return c.fill() == nil && c.use.CompareAndSwap(connFree, connTaken)
+	s.clients.rest(c) // behind the deadline: from here on it may be woken
+	if !c.more() {
+		return false
+	}
+	s.clients.take(c)
+	return true
 }
 
 var (
@@ -305,7 +362,7 @@
 			timed = true
 			c.SetReadDeadline(time.Now().Add(requestTimeout))
 		}
-		if c.fill() != nil {
+		if !c.more() {
 			return errNoRequest
 		}
 	}
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -19,9 +19,12 @@
 	"lynxspool/internal/httpwire"
 )
 
-// lingerUpload is how long a client is heard that is still sending when its answer is out: a
-// close with bytes unread resets the connection, and the reset may overtake the answer.
-const lingerUpload = 2 * time.Second
+// lingerUpload is how long a client is heard that is still sending its body when its answer is
+// out, however much that is: what follows may have filled every buffer on the way.
+const (
+	lingerUpload = 2 * time.Second
+	noLimit      = 1<<63 - 1
+)
 
 // readStreams reads the part of the body that is held. What is more flows.
 func (s *Server) readStreams(c *clientConn, x *front.Entry) error {
@@ -237,14 +240,10 @@
 	return !sending
 }
 
-// linger ends a connection whose client is still sending: the answer is out, our end follows,
-// and what still comes is read for a while. If a part of this fails the client has gone.
+// linger ends a connection whose client is still sending its body.
 func (s *Server) linger(c *clientConn, flow *body.Flow) {
 	flow.Close()
-	s.clients.spend(c)
-	c.CloseWrite()
-	c.SetReadDeadline(time.Now().Add(lingerUpload))
-	io.Copy(io.Discard, c.TCPConn)
+	s.finish(c, lingerUpload, noLimit)
 }
 
 // chunkRoom is left in a buffer ahead of what is read, for the size of the chunk.
@@ -335,7 +334,7 @@
 // tunnel passes bytes both ways between a client and a host that have gone over to another
 // protocol, until both have ended, one breaks, or the gateway stops.
 func (s *Server) tunnel(c *clientConn, x *front.Entry, a *engine.Answer) {
-	s.clients.track(c, http.StateHijacked)
+	s.clients.gone(c) // it counts no more
 	nc := c.TCPConn
 	h := a.Header
 	protocol := h.Get("Upgrade")
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -65,7 +65,7 @@
 	// that has not is owed an error or a close within 3 s of connecting.
 	requestTimeout = 2500 * time.Millisecond
 	writeTimeout   = 10 * time.Second // for a client to take its answer
-	// What a client goes on sending behind an error is read for drainTime, drainBytes at
+	// What a client goes on sending behind its last answer is read for drainTime, drainBytes at
 	// most: enough for whoever was a little over the limit to see why.
 	drainTime   = 500 * time.Millisecond
 	drainBytes  = 4 * front.MaxHeld
@@ -111,6 +111,7 @@
 		gate: gate, plain: o.Plain, shared: o.Shared, headMost: cmp.Or(o.Head, maxRequestHead),
 		listeners: map[net.Listener]*atomic.Pointer[ListenOptions]{}, leave: make(chan struct{}),
 	}
+	s.clients.ended = sync.NewCond(&s.clients.mu)
 	s.SetLongest(o.Longest)
 	s.Limit(o.Sockets, o.Spare)
 	return s
@@ -213,8 +214,14 @@
 		nc.Close()
 		return
 	}
-	s.clients.track(c, http.StateNew)
+	c.SetReadDeadline(time.Now().Add(requestTimeout)) // ahead of enter, behind which it may be woken
+	if !s.clients.enter(c) {
+		s.leavers.drop(c)
+		nc.Close()
+		return
+	}
 	go s.run(c)
+	s.clients.settle()
 }
 
 // Leave closes a listener. The connections that came by it are served on.
@@ -269,12 +276,12 @@
 	s.wait(s.clients.inUse, due.Add(-leaveTime))
 	s.leaving.Store(true)
 	if s.shared {
-		s.clients.closeUnused()
+		s.clients.endUnused()
 	}
 	close(s.leave)
 	s.wait(s.clients.inUse, due.Add(-closeTime))
 	s.wait(func() bool {
-		s.clients.closeUnused()
+		s.clients.endUnused()
 		return s.clients.busy()
 	}, kill.Add(-exitMargin))
 }
@@ -308,7 +315,7 @@
 		var next <-chan time.Time
 		switch state {
 		case drain.Closing:
-			s.clients.closeUnused()
+			s.clients.endUnused()
 			next = time.After(closeEvery)
 		case drain.Noticed, drain.Leaving:
 			next = time.After(holds)
@@ -324,7 +331,7 @@
 
 // serve answers the request whose head has come, and says whether the connection may go on.
 func (s *Server) serve(c *clientConn, came time.Time) bool {
-	if s.leaves() || !s.stopping.Load() && s.clients.crowded() {
+	if c.last || s.leaves() || !s.stopping.Load() && s.clients.crowded() {
 		c.close = true
 	}
 	if c.req.Method == http.MethodGet && isHealth(c.req.Target) {
@@ -402,13 +409,7 @@
 	if c.fail(status, err.Error(), after) != nil {
 		return
 	}
-	s.clients.spend(c)
-	// A close with bytes unread resets the connection, and the reset may overtake the
-	// answer. So the client is heard a little more, if there is more to come. If a part of
-	// this fails the client has gone.
-	c.TCPConn.CloseWrite()
-	c.SetReadDeadline(time.Now().Add(drainTime))
-	io.CopyN(io.Discard, c, drainBytes)
+	s.finish(c, drainTime, drainBytes)
 }
 
 // health tells whoever deals out clients whether requests can be served.
