A silent watch is replaced within 4.5 s, and lists may come in any white space

Need, read from the code and proven by tests: a watch was taken for dead 6 s after its last line. One that falls silent right behind a heartbeat was replaced 6.05 s later, when what it misses has counted as told since 6 s; only the drain's grace was left for dial and first line. The operators say that lists may come indented; a line was read as one JSON object, so an indented list ended the watch, again and again.

Ruled out: bytes that trickle never counted as life (kept so, with a test); a list of an older version, a cut line and a move are handled as before.

Change: the heartbeat (2 s) is a constant, silence is two of them and a quarter. Lists are decoded as a stream of JSON values whatever their white space, at most 16 MiB of it each, with empty lines as heartbeats between them.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -3,7 +3,6 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,13 +22,17 @@
 	// PathMembers is where the service has the list.
 	PathMembers = "/catalog/members"
 
-	// While nothing changes a line comes every 2 s: with three missing, the watch is
-	// taken for dead.
-	watchSilence = 6 * time.Second
+	// heartbeat is how often an empty line comes on a watch while nothing changes.
+	heartbeat = 2 * time.Second
+	// watchSilence is how long a watch may bring nothing before it is taken for dead: two heartbeats
+	// are missing then, and a part of one is for a busy machine. What a silent watch misses counts as
+	// told 6 s after its silence began, which may be right behind a heartbeat: a new one must have
+	// brought it by then.
+	watchSilence = 2*heartbeat + heartbeat/4
 	watchDial    = time.Second
 	watchBackoff = 50 * time.Millisecond // before a new watch, doubled to watchMost
 	watchMost    = time.Second
-	maxLine      = 16 << 20
+	maxList      = 16 << 20 // bytes of one list, white space aside
 )
 
 // Watcher follows the list of a discovery service.
@@ -176,20 +179,20 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxLine)
-	for lines.Scan() {
-		silence.Reset(d.Silence)
-		heard = true
-		if len(lines.Bytes()) == 0 {
-			continue
-		}
+	stream := &stream{from: resp.Body, beat: func() { silence.Reset(d.Silence); heard = true }}
+	for in := json.NewDecoder(stream); ; {
 		var list MemberList
-		if err := json.Unmarshal(lines.Bytes(), &list); err != nil {
+		if err := in.Decode(&list); err == io.EOF {
+			return heard, io.ErrUnexpectedEOF // a watch has no end of its own
+		} else if !malformed(err) {
+			return heard, err
+		} else if err != nil {
 			// What it said is lost, and comes again behind the last version that was read
 			// whole: the whole list is the dearest there is, and no gateway is alone in this.
-			return false, fmt.Errorf("discovery's line: %w", err)
+			return false, fmt.Errorf("discovery's list: %w", err)
 		}
+		stream.beat()
+		stream.size = 0
 		if !list.Full && list.Version < version {
 			// Changes from before what is known: the service counts anew, or tells of
 			// another list. Nothing of it may be used, and only the whole list tells.
@@ -206,8 +209,41 @@
 		}
 		to.Members(kind, list)
 	}
-	if err := lines.Err(); err != nil {
-		return heard, err
+}
+
+// malformed says whether what came is no list, or there is no error; else the connection has failed.
+func malformed(err error) bool {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	return err == nil || errors.As(err, &syntax) || errors.As(err, &kind)
+}
+
+// stream is what comes on a watch: lists in JSON, indented or not, and empty lines between them. A
+// list whose bytes trickle in is no sign of life before it is whole.
+type stream struct {
+	from io.Reader
+	beat func() // called at each empty line
+	line bool   // the line holds something
+	size int    // bytes since the last list, white space aside
+}
+
+var errLongList = fmt.Errorf("discovery's list is longer than %d bytes", maxList)
+
+func (s *stream) Read(b []byte) (int, error) {
+	n, err := s.from.Read(b)
+	for _, c := range b[:n] {
+		switch {
+		case c == '\n' && !s.line:
+			s.beat()
+		case c == '\n':
+			s.line = false
+		case c != ' ' && c != '\t' && c != '\r':
+			s.line = true
+			s.size++
+		}
+	}
+	if s.size > maxList {
+		return 0, errLongList
 	}
-	return heard, io.ErrUnexpectedEOF // a watch has no end of its own
+	return n, err
 }
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -1,13 +1,19 @@
 package discovery
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lynxspool"
@@ -125,6 +131,122 @@
 	testkit.Until(t, "a second watch", func() bool { return len(disco.asked()) > 1 })
 }
 
+// Lists may come indented, several in a line, or in pieces that end anywhere; what is behind one that
+// was cut off is not waited for.
+func TestListsInAnyWhiteSpace(t *testing.T) {
+	disco := newWatchServer(t)
+	sink := watch(t, NewWatcher(disco.addr(), false, 1))
+	one := `{"version":%d,"full":false,"servers":[{"id":"s-%d","state":"ready"}]}`
+	says := func(text string, ids ...int) {
+		t.Helper()
+		disco.lines <- text
+		for _, id := range ids {
+			if got, want := <-sink, fmt.Sprint(lynxspool.ListChanges, " s-", id, " ready"); got != want {
+				t.Errorf("told %q, want %q", got, want)
+			}
+		}
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, fmt.Appendf(nil, one, 2, 2), "", "  "); err != nil {
+		t.Fatal(err)
+	}
+	says(indented.String(), 2)
+	says("\r\n\t"+strings.ReplaceAll(indented.String(), "\n", "\r\n"), 2)
+	says(fmt.Sprintf(one+one, 3, 3, 4, 4), 3, 4)
+	whole := fmt.Sprintf(one, 5, 5)
+	for _, part := range []string{whole[:12], whole[12:13], whole[13:]} {
+		disco.lines <- part
+	}
+	if got := <-sink; !strings.Contains(got, "s-5") {
+		t.Errorf("told %q", got)
+	}
+	if got := len(disco.asked()); got != 1 {
+		t.Errorf("%d watches, want one that goes on", got)
+	}
+	disco.lines <- whole[:20]
+	disco.lines <- whole // within the other: no list
+	testkit.Until(t, "a new watch behind a list that was cut off", func() bool { return len(disco.asked()) == 2 })
+}
+
+// virtualWatch is a watch on a connection in memory, in virtual time.
+func virtualWatch(t *testing.T, serve func(w int, c net.Conn)) (sink news, end func()) {
+	d := NewWatcher("discovery:1", false, 1)
+	watches := 0
+	d.client.Transport = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		watches++
+		go func(n int) {
+			defer theirs.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(theirs)); err == nil {
+				serve(n, theirs)
+			}
+		}(watches)
+		return ours, nil
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	sink, done := make(news, 16), make(chan struct{})
+	go func() { d.Run(ctx, sink); close(done) }()
+	return sink, func() { cancel(); <-done }
+}
+
+const (
+	watchHead = "HTTP/1.1 200 OK\r\n\r\n"
+	drains    = `{"version":2,"full":false,"servers":[{"id":"s-1","state":"draining"}]}`
+)
+
+// toldLate is when what a silent watch misses counts as told all the same.
+const toldLate = 6 * time.Second
+
+// A watch that falls silent right behind a heartbeat, in the midst of a list, while the bytes of one
+// trickle in, or before it has said anything, is replaced in time for what it misses; one with
+// heartbeats stays.
+func TestWatchFallsSilent(t *testing.T) {
+	for name, silent := range map[string]func(c net.Conn){
+		"behind a heartbeat": func(c net.Conn) {
+			io.WriteString(c, watchHead)
+			for range 30 {
+				time.Sleep(heartbeat)
+				io.WriteString(c, "\n")
+			}
+		},
+		"in a list": func(c net.Conn) { io.WriteString(c, watchHead+drains[:30]) },
+		"while one trickles": func(c net.Conn) {
+			io.WriteString(c, watchHead+"\n")
+			go func() {
+				for i := range drains[:40] {
+					if _, err := io.WriteString(c, drains[i:i+1]); err != nil {
+						return
+					}
+					time.Sleep(heartbeat / 4)
+				}
+			}()
+		},
+		"before it begins": func(net.Conn) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				over, since := make(chan struct{}), make(chan time.Time, 1)
+				sink, end := virtualWatch(t, func(n int, c net.Conn) {
+					if n == 1 {
+						silent(c)
+						since <- time.Now()
+						<-over
+						return
+					}
+					io.WriteString(c, watchHead+drains+"\n")
+					<-over
+				})
+				<-sink
+				if took := time.Since(<-since); took >= toldLate {
+					t.Errorf("told %v after it fell silent, want less than %v", took, toldLate)
+				}
+				close(over)
+				end()
+			})
+		})
+	}
+}
+
 // Where the list must be asked for, the module decides when, and hears of failures.
 func TestWatchOnlyWhenAsked(t *testing.T) {
 	disco := newWatchServer(t)
