--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -171,22 +171,23 @@
 // virtualWatch is a watch on a connection in memory, in virtual time.
 func virtualWatch(t *testing.T, serve func(w int, c net.Conn)) (sink news, end func()) {
 	d := NewWatcher("discovery:1", false, 1)
-	watches := 0
+	watches, served := 0, sync.WaitGroup{}
 	d.client.Transport = &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		ours, theirs := net.Pipe()
 		watches++
-		go func(n int) {
+		n := watches
+		served.Go(func() {
 			defer theirs.Close()
 			if _, err := http.ReadRequest(bufio.NewReader(theirs)); err == nil {
 				serve(n, theirs)
 			}
-		}(watches)
+		})
 		return ours, nil
 	}}
 	ctx, cancel := context.WithCancel(t.Context())
 	sink, done := make(news, 16), make(chan struct{})
 	go func() { d.Run(ctx, sink); close(done) }()
-	return sink, func() { cancel(); <-done }
+	return sink, func() { cancel(); <-done; served.Wait() }
 }
 
 const (
@@ -201,35 +202,37 @@
 // trickle in, or before it has said anything, is replaced in time for what it misses; one with
 // heartbeats stays.
 func TestWatchFallsSilent(t *testing.T) {
-	for name, silent := range map[string]func(c net.Conn){
-		"behind a heartbeat": func(c net.Conn) {
+	for name, silent := range map[string]func(c net.Conn, falls func()){
+		"behind a heartbeat": func(c net.Conn, falls func()) {
 			io.WriteString(c, watchHead)
 			for range 30 {
 				time.Sleep(heartbeat)
 				io.WriteString(c, "\n")
 			}
+			falls()
+		},
+		"in a list": func(c net.Conn, falls func()) {
+			io.WriteString(c, watchHead+drains[:30])
+			falls()
 		},
-		"in a list": func(c net.Conn) { io.WriteString(c, watchHead+drains[:30]) },
-		"while one trickles": func(c net.Conn) {
+		"while one trickles": func(c net.Conn, falls func()) {
 			io.WriteString(c, watchHead+"\n")
-			go func() {
-				for i := range drains[:40] {
-					if _, err := io.WriteString(c, drains[i:i+1]); err != nil {
-						return
-					}
-					time.Sleep(heartbeat / 4)
+			falls()
+			for i := range drains[:40] {
+				if _, err := io.WriteString(c, drains[i:i+1]); err != nil {
+					return
 				}
-			}()
+				time.Sleep(heartbeat / 4)
+			}
 		},
-		"before it begins": func(net.Conn) {},
+		"before it begins": func(_ net.Conn, falls func()) { falls() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				over, since := make(chan struct{}), make(chan time.Time, 1)
 				sink, end := virtualWatch(t, func(n int, c net.Conn) {
 					if n == 1 {
-						silent(c)
-						since <- time.Now()
+						silent(c, func() { since <- time.Now() })
 						<-over
 						return
 					}
