A repeat of a keyed request is out by the close of its window, also behind a slow dial

Need, read from the code and proven by tests: the module looked at the window when it decided; the bytes go out after a dial of up to 100 ms and a turn on the core.

Change: the instant belongs to the attempt. A Send of the module says in At by when it has to be out (first attempt that may have run, plus the window, less answerSteps ticks as before); the engine keeps it as Request.GoBy; transports look at MayGo in place of Over before the first byte, and HTTP/1.1 hosts have it as the deadline of the write. At of a Send meant when to give an attempt up; no decision has set it.

Not in it: FastCGI hosts look before the first record, and keep their own time while they write.

Tests, each fails without its part: TestRepeatsSayWhenTheirWindowCloses (module), TestRepeatIsOutByItsWindow (engine), a case of TestLookAgainBeforeTheWrite (closed during a dial), TestWriteEndsWithTheWindow (a host that takes the first bytes only).

--- a/api.go
+++ b/api.go
@@ -189,7 +189,7 @@
 
 // Kinds of action.
 const (
-	Send   ActionKind = iota // start an attempt of Request at Host, give it up at At (0: at the client's deadline)
+	Send   ActionKind = iota // start an attempt of Request at Host; none of it may go out behind At (0: at any time)
 	Cancel                   // call off Attempt of Request
 	Refuse                   // final answer: turned away, trying again is harmless; After is advice (0: none)
 	Fail                     // final answer: an error that promises nothing
--- a/balancer.go
+++ b/balancer.go
@@ -684,7 +684,13 @@
 	if first == nil || c.Effect == Safe {
 		return true
 	}
-	return c.Effect == Keyed && b.now-first.sent <= c.Window-answerSteps*b.set.Step
+	return c.Effect == Keyed && b.now <= b.closes(c, first)
+}
+
+// closes is when the window closes for repeats that follow a first attempt: by then the last byte
+// of one has to be out.
+func (b *Balancer) closes(c *Class, first *attempt) Time {
+	return first.sent + c.Window - answerSteps*b.set.Step
 }
 
 // ejected says whether a host that failed is out of the draw: until its back-off
@@ -868,6 +874,10 @@
 
 // send starts an attempt.
 func (b *Balancer) send(r *request, h *host) {
+	by := Time(0)
+	if first := r.first(); first != nil && r.class.Effect == Keyed {
+		by = b.closes(r.class, first)
+	}
 	a := b.newAttempt()
 	a.req, a.host, a.sent = r, h, b.now
 	a.trial = h.fails > 0
@@ -885,7 +895,7 @@
 	}
 	b.join(setBusy, h)
 	b.recheck(h)
-	b.act(Action{Kind: Send, Request: r.ID, Host: h.ID})
+	b.act(Action{Kind: Send, Request: r.ID, Host: h.ID, At: by})
 	b.outNow++
 	b.sends.add(b.now, b.rateSpan())
 	b.tokens = max(b.tokens-1, 0)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -587,6 +587,35 @@
 	g.sole(Fail)
 }
 
+// A repeat says by when it has to be out, so that what a dial takes counts as well: the window runs
+// from the first attempt that may have run. All else may go out at any time.
+func TestRepeatsSayWhenTheirWindowCloses(t *testing.T) {
+	for class := range basic().Classes {
+		g := start(t, basic(), hosts(4)...)
+		id, began := g.request(class, time.Second), g.now
+		if at := g.sole(Send).At; at != 0 {
+			t.Errorf("class %d: the first has to be out by %v", class, at-began)
+		}
+		g.advance(100 * ms)
+		g.outcome(id, 0, ConnectFailed, ms)
+		if at := g.sole(Send).At; at != 0 {
+			t.Errorf("class %d: the next has to be out by %v though the first never ran", class, at-began)
+		}
+		second := g.now
+		g.advance(100 * ms)
+		if g.outcome(id, 1, Reset, ms); class == 2 {
+			continue // it may not be repeated
+		}
+		want := Time(0)
+		if class == 1 {
+			want = second + 600*ms - answerSteps*g.b.set.Step
+		}
+		if at := g.sole(Send).At; at != want {
+			t.Errorf("class %d: the repeat has to be out by %v, want %v", class, at-began, want-began)
+		}
+	}
+}
+
 func TestKeyedWhoseGroupIsGoneFails(t *testing.T) {
 	g := start(t, basic(), hosts(4)...)
 	id := g.request(1, time.Second)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -590,6 +590,51 @@
 	})
 }
 
+// A repeat of a keyed request is told when its window closes, counted from the first attempt that
+// may have run, and does not go out behind it. A safe one may go at any time.
+func TestRepeatIsOutByItsWindow(t *testing.T) {
+	inWorld(t, func(w *world) {
+		var by []time.Time
+		f := newFake("a", nil)
+		f.is(func(_ context.Context, _ string, x *Request) Result {
+			by = append(by, x.GoBy)
+			if len(by)%2 == 1 {
+				time.Sleep(time.Second)
+				return Ended(lynxspool.Reset)
+			}
+			if time.Sleep(1400 * time.Millisecond); x.MayGo() { // a dial that is slow
+				return Result{Answered: true, Answer: Answer{Kind: Served, Status: 200}}
+			}
+			return Ended(lynxspool.NotSent)
+		})
+		w.use(testRoute(false), nil, w.pool(f, 3))
+		for _, tt := range []struct {
+			class  int
+			closes time.Duration
+		}{{report, testClasses[report].Window - 10*time.Millisecond}, {look, 0}} {
+			by = nil
+			began := time.Now()
+			_, a := w.ask(tt.class)
+			if a.Kind != Served || len(by) != 2 || !by[0].IsZero() || by[1].IsZero() != (tt.closes == 0) || tt.closes > 0 && by[1].Sub(began) != tt.closes {
+				t.Errorf("class %d: %+v, by %v", tt.class, a, by)
+			}
+		}
+		f.is(func(_ context.Context, _ string, x *Request) Result {
+			if x.GoBy.IsZero() {
+				time.Sleep(time.Second)
+				return Ended(lynxspool.Reset)
+			}
+			if time.Sleep(1500 * time.Millisecond); x.MayGo() {
+				t.Error("a repeat may go out behind its window")
+			}
+			return Ended(lynxspool.NotSent)
+		})
+		if _, a := w.ask(report); a.Kind != Failed {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
 // endless is a body of which one byte has come, and no other will.
 type endless struct{ closed chan struct{} }
 
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -369,8 +369,9 @@
 		return
 	}
 	until := e.capped(x.Deadline)
-	if at := e.clock.time(a.At); a.At > 0 && at.Before(until) {
-		until = at
+	x.GoBy = time.Time{}
+	if a.At > 0 {
+		x.GoBy = e.clock.time(a.At)
 	}
 	var ctx context.Context
 	var cancel context.CancelFunc
--- a/internal/host/fastcgi/transport.go
+++ b/internal/host/fastcgi/transport.go
@@ -346,7 +346,7 @@
 			return engine.Ended(lynxspool.ConnectFailed)
 		}
 		// The dial may have taken long: look again whether the request may go out.
-		if x.Over() || !h.usable.Load() {
+		if !x.MayGo() || !h.usable.Load() {
 			c.release()
 			return engine.Ended(lynxspool.NotSent)
 		}
--- a/internal/host/http1/flow.go
+++ b/internal/host/http1/flow.go
@@ -180,8 +180,14 @@
 	}
 	head := encodeHead(x, joinMost)
 	all := len(head) + len(held) + len(tail)
+	until := x.GoBy
 	if !strict || !x.Body.Whole() {
-		c.SetWriteDeadline(time.Now().Add(streams(x).Pace.Idle))
+		if idle := time.Now().Add(streams(x).Pace.Idle); until.IsZero() || idle.Before(until) {
+			until = idle
+		}
+	}
+	if !until.IsZero() {
+		c.SetWriteDeadline(until)
 	}
 	if n, err := c.writeAll(head, held, tail); n < all || err != nil {
 		stop()
--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -388,8 +388,9 @@
 			return engine.Ended(lynxspool.ConnectFailed)
 		}
 		// The dial may have taken long: look again whether the request may go out. It
-		// guards against sending to a host that drains by now, or what has its answer.
-		if x.Over() || !h.usable.Load() {
+		// guards against sending to a host that drains by now, what has its answer, or a
+		// repeat that hosts would not know for one any more.
+		if !x.MayGo() || !h.usable.Load() {
 			p.put(c)
 			return engine.Ended(lynxspool.NotSent)
 		}
--- a/internal/host/http1/transport_test.go
+++ b/internal/host/http1/transport_test.go
@@ -674,8 +674,9 @@
 // The list may change, or the request end, while a dial is on: nothing goes out then.
 func TestLookAgainBeforeTheWrite(t *testing.T) {
 	for name, change := range map[string]func(p *Transport, h *host, x *engine.Request){
-		"drain during a dial": func(p *Transport, h *host, _ *engine.Request) { p.update(h, h.addr, 0, false) },
-		"over during a dial":  func(_ *Transport, _ *host, x *engine.Request) { x.Close() },
+		"drain during a dial":             func(p *Transport, h *host, _ *engine.Request) { p.update(h, h.addr, 0, false) },
+		"over during a dial":              func(_ *Transport, _ *host, x *engine.Request) { x.Close() },
+		"its window closes during a dial": func(_ *Transport, _ *host, x *engine.Request) { x.GoBy = time.Now() },
 	} {
 		p, server := newTestPool(), testkit.NewHost(t, testkit.Says(testkit.Good))
 		h, x := pooled(p, server.Addr()), newExchange("b")
@@ -697,6 +698,23 @@
 	}
 }
 
+// What has to be out by a time is not written behind it, also where its host takes the first bytes
+// and then no more: it never had the last, which proves that it did not run.
+func TestWriteEndsWithTheWindow(t *testing.T) {
+	ln := testkit.Listen(t, "127.0.0.1:0", small(syscall.SO_RCVBUF))
+	p := newTestPool()
+	p.dialer.Control = small(syscall.SO_SNDBUF)
+	h := pooled(p, ln.Addr().String())
+	x := newExchange(strings.Repeat("x", maxBody))
+	x.GoBy = time.Now().Add(100 * time.Millisecond)
+	if got, _ := tryOnce(t, p, h, x); got != lynxspool.ConnectFailed {
+		t.Errorf("result %v, want ConnectFailed", got)
+	}
+	if open, _ := p.counts(h); open != 0 {
+		t.Errorf("%d connections are counted as open", open)
+	}
+}
+
 // Connections stay within the budget: an idle one makes room, and with none the
 // attempt is not sent, which proves that it did not run.
 func TestConnectionBudget(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -347,7 +347,7 @@
 		w.u32(uint32(a.Request))
 		w.u32(uint32(a.Host))
 		w.u16(uint16(a.Host >> 32))
-		w.u64(uint64(a.At / unit))
+		w.u64(0) // it is given up at the client's deadline, and goes out at once
 	case lynxspool.Cancel:
 		w.record(withdraw, instance, 10)
 		w.u32(uint32(a.Request))
