While hosts say things unasked, connections rest 10 ms behind an answer before they are used again

Need: a second answer some milliseconds behind the first, or half a line, on a connection just kept must not be served to the next request. Idle connections were looked at before use, which sees what has come, not what is about to.

TestStrayBehindAnAnswer serves both kinds without the mend, so the hole was there.

Change: the transport notes when a host said something unasked (seen by a look at an idle connection, or behind an answer). For strayMemory (a minute) from there connections rest for strayRest behind an answer: an attempt that draws one sooner waits out the rest, at most 10 ms, and looks again. No connection is dialled for it, and where nothing strays nothing waits. The first stray that a gateway sees is not guarded against. FastCGI tells answers apart by their request's number.

--- a/internal/host/http1/flow.go
+++ b/internal/host/http1/flow.go
@@ -268,7 +268,14 @@
 
 // keeps says whether the connection can carry another request behind this answer.
 func keeps(h http.Header, c *conn) bool {
-	return c.proto == "HTTP/1.1" && c.in.Buffered() == 0 && !closes(h)
+	if c.in.Buffered() > 0 {
+		t := c.host.t
+		t.mu.Lock()
+		t.stray = time.Now()
+		t.mu.Unlock()
+		return false
+	}
+	return c.proto == "HTTP/1.1" && !closes(h)
 }
 
 // settle gives a connection back behind a whole answer. An upload that is still on ends: the
--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -42,6 +42,12 @@
 	// again after some 200 ms.
 	answerGap = 250 * time.Millisecond
 
+	// strayRest is how long a connection rests behind an answer before it carries another request,
+	// for strayMemory after a host has said something unasked: a second answer comes some
+	// milliseconds behind the first, and would be taken for the next. With none about nothing rests.
+	strayRest   = 10 * time.Millisecond
+	strayMemory = time.Minute
+
 	headNotProcessed = "X-Not-Processed" // "1" proves that the attempt never ran
 )
 
@@ -73,6 +79,7 @@
 	budget  int
 
 	unheardLeast time.Duration
+	strayRest    time.Duration
 
 	bodies *body.Budget
 
@@ -83,6 +90,7 @@
 	open   int               // connections, in use, idle and being dialled
 	idle   map[*host][]*conn // the one idle longest first
 	closed bool              // Run has ended: nothing is kept
+	stray  time.Time         // when a host last said something unasked
 }
 
 // host is where attempts go. Transport.mu guards addr, started and heard.
@@ -162,6 +170,7 @@
 		budget:  o.Sockets,
 
 		unheardLeast: unheardLeast,
+		strayRest:    strayRest,
 
 		idle: map[*host][]*conn{},
 	}
@@ -199,7 +208,7 @@
 	for h, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if time.Since(c.idleAt) < p.maxIdle && c.quiet() {
+			if time.Since(c.idleAt) < p.maxIdle && p.quiet(c) {
 				kept = append(kept, c)
 			} else {
 				p.close(c)
@@ -306,7 +315,28 @@
 		if p.idle[h] = list[1:]; len(list) == 1 {
 			delete(p.idle, h)
 		}
-		if c.quiet() {
+		if !p.quiet(c) {
+			p.close(c)
+			continue
+		}
+		rest := time.Duration(0)
+		if !p.stray.IsZero() && time.Since(p.stray) < strayMemory {
+			rest = p.strayRest - time.Since(c.idleAt)
+		}
+		if rest <= 0 {
+			p.mu.Unlock()
+			return c, nil
+		}
+		p.mu.Unlock()
+		over := time.NewTimer(rest)
+		select {
+		case <-over.C:
+		case <-ctx.Done(): // it is given back
+			over.Stop()
+			return c, nil
+		}
+		p.mu.Lock()
+		if p.quiet(c) {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -351,24 +381,32 @@
 }
 
 // quiet says whether an idle connection is open with nothing to read: one that the
-// host has closed, or on which it said something unasked, carries no request.
-func (c *conn) quiet() bool {
+// host has closed, or on which it said something unasked, carries no request. p.mu is held.
+func (p *Transport) quiet(c *conn) bool {
+	open, says := c.look()
+	if says {
+		p.stray = time.Now()
+	}
+	return open && !says
+}
+
+// look says whether a connection is open, and whether there is something to read.
+func (c *conn) look() (open, says bool) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open, says = err == syscall.EAGAIN || n > 0, n > 0
 		return true
 	})
-	return err == nil && open
+	return err == nil && open, says
 }
 
 // attempt sends a request to a host once and says how that ended. ctx ends when the
--- a/internal/host/http1/transport_test.go
+++ b/internal/host/http1/transport_test.go
@@ -483,7 +483,7 @@
 		p.mu.Lock()
 		c := p.idle[h][0]
 		p.mu.Unlock()
-		testkit.Until(t, "the idle connection is seen to be closed", func() bool { return !c.quiet() })
+		testkit.Until(t, "the idle connection is seen to be closed", func() bool { return !p.isQuiet(c) })
 	}
 	p.sweep()
 	if open, idle := p.counts(h); open != 0 || idle != 0 {
@@ -509,7 +509,7 @@
 		t.Fatal(err)
 	}
 	c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")) // brings an answer that nobody reads
-	testkit.Until(t, "the answer is there", func() bool { return !c.quiet() })
+	testkit.Until(t, "the answer is there", func() bool { return !p.isQuiet(c) })
 	if got, _ := tryOnce(t, p, h, newExchange("b")); got != lynxspool.OK {
 		t.Errorf("result %v", got)
 	}
@@ -518,6 +518,58 @@
 	}
 }
 
+func (p *Transport) isQuiet(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.quiet(c)
+}
+
+// Once a host has said something unasked, connections rest behind an answer before they carry
+// another request, and what comes meanwhile, a second answer or a part of one, ends them: the next
+// request is not served it.
+func TestStrayBehindAnAnswer(t *testing.T) {
+	for _, stray := range []string{testkit.Good, "HTTP/1.1 2"} {
+		p, taken := newTestPool(), make(chan struct{})
+		p.strayRest = 500 * time.Millisecond
+		server := testkit.NewHost(t, func(c net.Conn, _ *http.Request, n int) bool {
+			switch n {
+			case 0:
+				io.WriteString(c, testkit.Good+stray) // at once: this is how it is learnt
+			case 1:
+				io.WriteString(c, testkit.Good)
+				<-taken
+				io.WriteString(c, stray)
+			default:
+				io.WriteString(c, strings.Replace(testkit.Good, "good", "next", 1))
+			}
+			return true
+		})
+		h := pooled(p, server.Addr())
+		for n := range 2 {
+			if got, _ := tryOnce(t, p, h, newExchange("b")); got != lynxspool.OK {
+				t.Fatalf("attempt %d: result %v", n, got)
+			}
+		}
+		if _, idle := p.counts(h); idle != 1 {
+			t.Fatalf("%d connections are kept", idle)
+		}
+		go func() {
+			for _, idle := p.counts(h); idle != 0; _, idle = p.counts(h) {
+				time.Sleep(testkit.PollEvery)
+			}
+			close(taken)
+		}()
+		began := time.Now()
+		got, a := tryOnce(t, p, h, newExchange("b"))
+		if text := string(a.Body.Bytes()); got != lynxspool.OK || text != "next" {
+			t.Errorf("%q: served %q, result %v, after %v", stray, text, got, time.Since(began))
+		}
+		if _, accepted, _ := server.Counts(); accepted != 3 {
+			t.Errorf("%q: %d connections, want a new one", stray, accepted)
+		}
+	}
+}
+
 // Handshakes cost hosts work, so idle connections are used again, in turn: it guards
 // against writing to one that its host is about to end behind an answer.
 func TestConnectionsAreUsedInTurn(t *testing.T) {
