Nothing goes out behind a dial to a host that has moved or was started anew meanwhile

Need, read from the code: behind a dial attempts looked at whether the host drains, not at whether it is still the one that was dialled. A host replaced under its id, or started anew, got the request on the connection to what it was: past the pacing of the cold one, or at an address that is another's.

Change: both transports hold the connection's address and start against the list before the first byte, as they do before a connection is kept; the attempt ends as not sent.

--- a/internal/host/fastcgi/transport.go
+++ b/internal/host/fastcgi/transport.go
@@ -268,6 +268,13 @@
 	return c, false, nil
 }
 
+// current says whether a connection leads to its host as the list has it now.
+func (t *Transport) current(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return c.age == c.host.age
+}
+
 // coldest is the connection that was idle longest; t.mu is held.
 func (t *Transport) coldest() (coldest *conn) {
 	for h := range t.hosts {
@@ -346,7 +353,7 @@
 			return engine.Ended(lynxspool.ConnectFailed)
 		}
 		// The dial may have taken long: look again whether the request may go out.
-		if !x.MayGo() || !h.usable.Load() {
+		if !x.MayGo() || !h.usable.Load() || !t.current(c) {
 			c.release()
 			return engine.Ended(lynxspool.NotSent)
 		}
--- a/internal/host/fastcgi/transport_test.go
+++ b/internal/host/fastcgi/transport_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -482,3 +483,29 @@
 		}
 	}
 }
+
+// A dial may take long: nothing goes out behind it to a host that drains, has moved or was started
+// anew meanwhile, nor for what is over or whose window has closed.
+func TestLookAgainBehindADial(t *testing.T) {
+	for name, change := range map[string]func(h *host, x *engine.Request){
+		"drain":         func(h *host, _ *engine.Request) { h.Update(h.addr, 0, false) },
+		"moved":         func(h *host, _ *engine.Request) { h.Update("127.0.0.1:9", 0, true) },
+		"started anew":  func(h *host, _ *engine.Request) { h.Update(h.addr, 7, true) },
+		"over":          func(_ *host, x *engine.Request) { x.Close() },
+		"window closed": func(_ *host, x *engine.Request) { x.GoBy = time.Now() },
+	} {
+		r := startResponder(t, "end", func(c net.Conn, id uint16, _ map[string]string, _ string) { c.Write(good(id, "yes")) })
+		tr, h := hostAt(t, r.Addr().String())
+		x := ask("POST", "/", "x")
+		tr.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+			change(h, x)
+			return nil
+		}
+		if got, _, _ := attempt(h, x); got.Answered || got.Outcome != lynxspool.NotSent {
+			t.Errorf("%s: %+v, want NotSent", name, got)
+		}
+		if n := r.runs.Load(); n != 0 {
+			t.Errorf("%s: the host got %d requests", name, n)
+		}
+	}
+}
--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -288,12 +288,24 @@
 	p.close(c)
 }
 
+// current says whether a connection leads to its host as the list has it now.
+func (p *Transport) current(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.fits()
+}
+
+// fits is current; p.mu is held.
+func (c *conn) fits() bool {
+	return c.host.usable.Load() && c.addr == c.host.addr && c.started == c.host.started
+}
+
 // put keeps a connection for the next attempt.
 func (p *Transport) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := c.host
-	if p.closed || !h.usable.Load() || c.addr != h.addr || c.started != h.started {
+	if p.closed || !c.fits() {
 		p.close(c)
 		return
 	}
@@ -426,9 +438,9 @@
 			return engine.Ended(lynxspool.ConnectFailed)
 		}
 		// The dial may have taken long: look again whether the request may go out. It
-		// guards against sending to a host that drains by now, what has its answer, or a
-		// repeat that hosts would not know for one any more.
-		if !x.MayGo() || !h.usable.Load() {
+		// guards against sending to a host that drains by now, has moved or was started anew,
+		// what has its answer, or a repeat that hosts would not know for one any more.
+		if !x.MayGo() || !p.current(c) {
 			p.put(c)
 			return engine.Ended(lynxspool.NotSent)
 		}
--- a/internal/host/http1/transport_test.go
+++ b/internal/host/http1/transport_test.go
@@ -727,6 +727,8 @@
 func TestLookAgainBeforeTheWrite(t *testing.T) {
 	for name, change := range map[string]func(p *Transport, h *host, x *engine.Request){
 		"drain during a dial":             func(p *Transport, h *host, _ *engine.Request) { p.update(h, h.addr, 0, false) },
+		"moved during a dial":             func(p *Transport, h *host, _ *engine.Request) { p.update(h, "127.0.0.1:9", 0, true) },
+		"started anew during a dial":      func(p *Transport, h *host, _ *engine.Request) { p.update(h, h.addr, 7, true) },
 		"over during a dial":              func(_ *Transport, _ *host, x *engine.Request) { x.Close() },
 		"its window closes during a dial": func(_ *Transport, _ *host, x *engine.Request) { x.GoBy = time.Now() },
 	} {
