A stream to an HTTP/1.0 client is reset where the exit cuts it, as its end is the answer's

Read from the code: an answer that flows to an HTTP/1.0 client and is still on when the process ends was closed by the kernel in order, which such a client takes for the whole of it. The server now has those connections reset as they close (SetLinger), once nothing more is waited for. TestOldClientsStreamAtTheExit: without it the stream is taken for whole.

--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,8 +45,9 @@
 	readErr error
 	try     func(fd uintptr) bool // tryRead, made once
 
-	last   bool      // it was told to end when this request was there already
-	idleBy time.Time // the read deadline that stands, if it is that of a wait for a request; else zero
+	toEnd  atomic.Bool // an answer flows that ends with the connection
+	last   bool        // it was told to end when this request was there already
+	idleBy time.Time   // the read deadline that stands, if it is that of a wait for a request; else zero
 	out    body.Alarm
 
 	exchange
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -271,6 +271,10 @@
 	if length < 0 {
 		length, chunked = inChunks, !c.req.Old
 	}
+	if length < 0 && !chunked {
+		c.toEnd.Store(true)
+		defer c.toEnd.Store(false)
+	}
 	held := a.Body.Bytes()
 	head := c.head(make([]byte, 0, inputSize), time.Now(), a.Status, h, length)
 	if chunked && len(held) > 0 {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -284,6 +284,23 @@
 		s.clients.endUnused()
 		return s.clients.busy()
 	}, kill.Add(-exitMargin))
+	s.breakOff()
+}
+
+// breakOff has what still flows to clients that take the end of their connection for that of the
+// answer end with a reset when the process does.
+func (s *Server) breakOff() {
+	s.mu.Lock()
+	l := s.leavers
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	for _, c := range l.all() {
+		if c.toEnd.Load() {
+			c.SetLinger(0)
+		}
+	}
 }
 
 // wait returns when what it is given no longer holds, or at the time until.
--- a/internal/gateway/flow_test.go
+++ b/internal/gateway/flow_test.go
@@ -912,6 +912,39 @@
 	<-done
 }
 
+// A stream to an HTTP/1.0 client, to whom the connection's end is the answer's, is reset at the exit.
+func TestOldClientsStreamAtTheExit(t *testing.T) {
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, "data: 1\n\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	g := startAppliance(t, uploads("stream = true", addr))
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.urls[0], "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testkit.Patience))
+	io.WriteString(c, "GET / HTTP/1.0\r\nHost: a\r\n\r\n")
+	in := bufio.NewReader(c)
+	for line := ""; line != "data: 1\n"; {
+		if line, err = in.ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		g.Stop(time.Second)
+		g.Gateway.Close() // as the end of the process does
+		close(done)
+	}()
+	if _, err := io.Copy(io.Discard, in); err == nil {
+		t.Error("it was taken for whole")
+	}
+	<-done
+}
+
 // To an HTTP/1.0 client the connection's end is the answer's: where the host breaks off it sees a
 // reset, and never a clean end.
 func TestOldClientSeesWhatBreaksOff(t *testing.T) {
