The time of a request counts while its connection is left unread

Read from the code: where limits are set (appliances), a client that came back sooner than told is left unread for up to 1 s, and its next request's time began when it was read: it could go to a host behind its client's time, and be answered up to 1 s late. Now what is there when the pause ends counts from the pause's begin, the earliest that it may have come.

--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -47,6 +47,7 @@
 
 	toEnd  atomic.Bool // an answer flows that ends with the connection
 	last   bool        // it was told to end when this request was there already
+	unread time.Time   // since when the request that comes next may have been there; zero: it has just come
 	idleBy time.Time   // the read deadline that stands, if it is that of a wait for a request; else zero
 	out    body.Alarm
 
@@ -276,7 +277,11 @@
 		s.turnAway(c, bad)
 		return false
 	}
-	if !s.serve(c, time.Now()) {
+	came := time.Now()
+	if !c.unread.IsZero() {
+		came, c.unread = c.unread, time.Time{}
+	}
+	if !s.serve(c, came) {
 		return false
 	}
 	if c.close || !s.finishBody(c) {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -405,6 +405,7 @@
 // pause leaves a connection unread for a while, by chance half of the longest to all of it: those
 // that were turned away together do not come back together.
 func (s *Server) pause(c *clientConn, after time.Duration) {
+	began := time.Now()
 	t := time.NewTimer(min(after, pauseMost/2+rand.N(pauseMost/2)))
 	defer t.Stop()
 	select {
@@ -412,6 +413,9 @@
 	case <-c.ctx.Done():
 	case <-s.leave:
 	}
+	if c.buffered() > 0 || c.look() {
+		c.unread = began // it may have come as soon as that, and its time counts from there
+	}
 }
 
 // turnAway answers a request that goes to no host. The connection ends with the
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -134,6 +134,43 @@
 	}
 }
 
+// What a client sends on a connection that is left unread has waited there, and its time counts: it
+// goes to no host behind it, and the next has all of its own.
+func TestTimeCountsWhileLeftUnread(t *testing.T) {
+	host := testkit.NewHost(t, testkit.Says(testkit.Good))
+	g := limitBox(t, "", host)
+	g.engine.Sample(overload.Sample{Heap: 1})
+	testkit.Until(t, "there is pressure", func() bool { return g.engine.Overload.Pressure() > 4.5 })
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.urls[0], "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testkit.Patience))
+	in := bufio.NewReader(c)
+	for i, tt := range []struct {
+		request string
+		served  bool
+	}{{"GET /", false}, {"GET /", false}, {"POST /book HTTP/1.1\r\nX-Timeout: 0.2", false}, {"POST /book HTTP/1.1\r\nX-Timeout: 2", true}} {
+		if !strings.Contains(tt.request, "HTTP") {
+			tt.request += " HTTP/1.1"
+			g.engine.Sample(overload.Sample{Heap: 1})
+		}
+		io.WriteString(c, tt.request+"\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if (resp.StatusCode == 200) != tt.served {
+			t.Errorf("request %d: status %d", i, resp.StatusCode)
+		}
+	}
+	if n, _, _ := host.Counts(); n != 1 {
+		t.Errorf("the host got %d requests", n)
+	}
+}
+
 // A client that asks too often or too much at once is told so, with 429; another address is not
 // held to it, a reload changes the limit, and what is out is given back.
 func TestClientLimits(t *testing.T) {
