Names: lingeringClose, backlogTime, errMalformed, WriteBy and MayWrite are the field's words

No change but names: finish is lingeringClose with lingerTime and lingerBytes; what goes on being accepted after SIGTERM is backlogTime; errSpoilt is errMalformed; GoBy and MayGo are WriteBy and MayWrite. The module's result Spoilt keeps its name: recordings print it, and every user of it would have to change.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -597,12 +597,12 @@
 		var by []time.Time
 		f := newFake("a", nil)
 		f.is(func(_ context.Context, _ string, x *Request) Result {
-			by = append(by, x.GoBy)
+			by = append(by, x.WriteBy)
 			if len(by)%2 == 1 {
 				time.Sleep(time.Second)
 				return Ended(lynxspool.Reset)
 			}
-			if time.Sleep(1400 * time.Millisecond); x.MayGo() { // a dial that is slow
+			if time.Sleep(1400 * time.Millisecond); x.MayWrite() { // a dial that is slow
 				return Result{Answered: true, Answer: Answer{Kind: Served, Status: 200}}
 			}
 			return Ended(lynxspool.NotSent)
@@ -620,11 +620,11 @@
 			}
 		}
 		f.is(func(_ context.Context, _ string, x *Request) Result {
-			if x.GoBy.IsZero() {
+			if x.WriteBy.IsZero() {
 				time.Sleep(time.Second)
 				return Ended(lynxspool.Reset)
 			}
-			if time.Sleep(1500 * time.Millisecond); x.MayGo() {
+			if time.Sleep(1500 * time.Millisecond); x.MayWrite() {
 				t.Error("a repeat may go out behind its window")
 			}
 			return Ended(lynxspool.NotSent)
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -369,9 +369,9 @@
 		return
 	}
 	until := e.capped(x.Deadline)
-	x.GoBy = time.Time{}
+	x.WriteBy = time.Time{}
 	if a.At > 0 {
-		x.GoBy = e.clock.time(a.At)
+		x.WriteBy = e.clock.time(a.At)
 	}
 	var ctx context.Context
 	var cancel context.CancelFunc
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -29,9 +29,9 @@
 	// Done, if set, is called once the request is over and no attempt uses its body any more.
 	Done func()
 
-	// GoBy is when the attempt that is out has to have been written to its last byte; zero: at any
+	// WriteBy is when the attempt that is out has to have been written to its last byte; zero: at any
 	// time. The loop sets it ahead of each attempt.
-	GoBy time.Time
+	WriteBy time.Time
 
 	Route    *Route
 	Class    int // as the pools of the route number them
@@ -64,10 +64,10 @@
 // Over says whether it has its answer or nobody waits for one: nothing may go out for it.
 func (x *Request) Over() bool { return x.over.Load() }
 
-// MayGo says whether an attempt may be written now: nobody has the answer yet, and its time for
+// MayWrite says whether an attempt may be written now: nobody has the answer yet, and its time for
 // that is not over.
-func (x *Request) MayGo() bool {
-	return !x.Over() && (x.GoBy.IsZero() || time.Now().Before(x.GoBy))
+func (x *Request) MayWrite() bool {
+	return !x.Over() && (x.WriteBy.IsZero() || time.Now().Before(x.WriteBy))
 }
 
 // epoch is what instants kept as numbers count from.
@@ -207,7 +207,7 @@
 	Update(addr string, started int64, usable bool)
 	CloseIdle()
 	// Attempt sends a request at most once, and says how that ended. ctx ends when it is to
-	// be given up, by its deadline or by being called off. It looks again at MayGo and at
-	// usable before the first byte goes out, and at GoBy while it writes.
+	// be given up, by its deadline or by being called off. It looks again at MayWrite and at
+	// usable before the first byte goes out, and at WriteBy while it writes.
 	Attempt(ctx context.Context, x *Request) Result
 }
--- a/internal/front/fastcgi/server.go
+++ b/internal/front/fastcgi/server.go
@@ -44,7 +44,7 @@
 	// closeBefore the exit connections without a request are closed, and leaveBefore it all end
 	// with their answers.
 	leaveBefore = 300 * time.Millisecond
-	lingerTime  = 600 * time.Millisecond
+	backlogTime = 600 * time.Millisecond
 	exitTime    = 3600 * time.Millisecond // of SIGTERM: what HTTP clients have too
 	waitEvery   = 10 * time.Millisecond
 )
@@ -185,7 +185,7 @@
 // their answers, and what is out shortly before the exit is answered as the gate says.
 func (s *Server) Stop() {
 	began := time.Now()
-	time.Sleep(lingerTime)
+	time.Sleep(backlogTime)
 	s.mu.Lock()
 	for ln := range s.listeners {
 		delete(s.listeners, ln)
--- a/internal/front/fastcgi/server_test.go
+++ b/internal/front/fastcgi/server_test.go
@@ -27,7 +27,7 @@
 		text := fastcgi.AppendBegin(nil, 1, fastcgi.Begin{Role: fastcgi.Responder})
 		text = fastcgi.AppendStream(text, fastcgi.Params, 1, fastcgi.AppendPair(nil, "REQUEST_METHOD", "GET"))
 		text = fastcgi.AppendEnd(fastcgi.AppendEnd(text, fastcgi.Params, 1), fastcgi.Stdin, 1)
-		time.Sleep(lingerTime - waitEvery)
+		time.Sleep(backlogTime - waitEvery)
 		ours.Write(text[:4]) // of a head
 		time.Sleep(lookEvery / 2)
 		if _, err := ours.Write(text[4:]); err != nil {
--- a/internal/front/http1/clients.go
+++ b/internal/front/http1/clients.go
@@ -192,7 +192,7 @@
 
 // endResting is endUnused; mu is held.
 func (s *clients) endResting() {
-	for _, from := range []share{{&s.silent, lingerTime}, {&s.idle, 0}} {
+	for _, from := range []share{{&s.silent, backlogTime}, {&s.idle, 0}} {
 		for e := from.line.Front(); e != nil; e = from.line.Front() {
 			c := e.Value.(*clientConn)
 			if time.Since(c.since) < from.least {
@@ -250,7 +250,7 @@
 func (s *clients) busy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if newest := s.silent.Back(); newest != nil && time.Since(newest.Value.(*clientConn).since) < lingerTime {
+	if newest := s.silent.Back(); newest != nil && time.Since(newest.Value.(*clientConn).since) < backlogTime {
 		return true
 	}
 	return s.ending > 0 || s.open > s.silent.Len()+s.idle.Len()
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -262,12 +262,12 @@
 // next serves the next request, and says whether another may come.
 func (s *Server) next(c *clientConn, first bool) bool {
 	if !first && c.buffered() == 0 && !s.await(c) {
-		s.finish(c, drainTime, drainBytes)
+		s.lingeringClose(c, lingerTime, lingerBytes)
 		return false
 	}
 	bad := s.readHead(c, first)
 	if bad == errNoRequest {
-		s.finish(c, drainTime, drainBytes)
+		s.lingeringClose(c, lingerTime, lingerBytes)
 		return false
 	}
 	if first {
@@ -285,7 +285,7 @@
 		return false
 	}
 	if c.close || !s.finishBody(c) {
-		s.finish(c, drainTime, drainBytes)
+		s.lingeringClose(c, lingerTime, lingerBytes)
 		return false
 	}
 	c.req.Header = nil
@@ -300,11 +300,11 @@
 	c.left()
 }
 
-// finish ends a connection in order (a lingering close): our side first, then what its client still
+// lingeringClose ends a connection in order: our side first, then what its client still
 // sends is read and dropped, for a time and so many bytes. A close with bytes unread resets the
 // connection, and the reset may overtake the last answer. Nothing that is read here is a request:
 // whoever sent it sees the end come across it. If a part of this fails the client has gone.
-func (s *Server) finish(c *clientConn, most time.Duration, bytes int64) {
+func (s *Server) lingeringClose(c *clientConn, most time.Duration, bytes int64) {
 	c.CloseWrite()
 	c.SetReadDeadline(time.Now().Add(most)) // ahead of spend, behind which it may be woken
 	if s.clients.spend(c) {
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -243,7 +243,7 @@
 // linger ends a connection whose client is still sending its body.
 func (s *Server) linger(c *clientConn, flow *body.Flow) {
 	flow.Close()
-	s.finish(c, lingerUpload, noLimit)
+	s.lingeringClose(c, lingerUpload, noLimit)
 }
 
 // chunkRoom is left in a buffer ahead of what is read, for the size of the chunk.
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -44,8 +44,8 @@
 	pathHealth = "/_health"
 
 	// Clients still come for up to 0.4 s after SIGTERM, and what waits in the
-	// listener's backlog counts as taken: lingerTime is that and room to accept it.
-	lingerTime = 600 * time.Millisecond
+	// listener's backlog counts as taken: backlogTime is that and room to accept it.
+	backlogTime = 600 * time.Millisecond
 	// At killTime after SIGTERM and the longest deadline (killDeadline at most), the gateway is
 	// killed. Three instants come before that, in this order: dueMargin ahead of it all answers
 	// are due, so that those due at once can be written on a shared core; they are written; and
@@ -65,10 +65,10 @@
 	// that has not is owed an error or a close within 3 s of connecting.
 	requestTimeout = 2500 * time.Millisecond
 	writeTimeout   = 10 * time.Second // for a client to take its answer
-	// What a client goes on sending behind its last answer is read for drainTime, drainBytes at
+	// What a client goes on sending behind its last answer is read for lingerTime, lingerBytes at
 	// most: enough for whoever was a little over the limit to see why.
-	drainTime   = 500 * time.Millisecond
-	drainBytes  = 4 * front.MaxHeld
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 4 * front.MaxHeld
 	idleTimeout = 15 * time.Second // for a connection with no request: some are never used again
 	// idleLeast is how long a connection with no request is left open even when there
 	// is need of room: a close sooner may cross a request that the client has begun.
@@ -265,7 +265,7 @@
 	if s.shared {
 		s.leaving.Store(true) // whoever comes back meets the process that takes over
 	} else {
-		time.Sleep(lingerTime)
+		time.Sleep(backlogTime)
 	}
 	s.mu.Lock()
 	for ln := range s.listeners {
@@ -430,7 +430,7 @@
 	if c.fail(status, err.Error(), after) != nil {
 		return
 	}
-	s.finish(c, drainTime, drainBytes)
+	s.lingeringClose(c, lingerTime, lingerBytes)
 }
 
 // health tells whoever deals out clients whether requests can be served.
--- a/internal/host/fastcgi/transport.go
+++ b/internal/host/fastcgi/transport.go
@@ -353,7 +353,7 @@
 			return engine.Ended(lynxspool.ConnectFailed)
 		}
 		// The dial may have taken long: look again whether the request may go out.
-		if !x.MayGo() || !h.usable.Load() || !t.current(c) {
+		if !x.MayWrite() || !h.usable.Load() || !t.current(c) {
 			c.release()
 			return engine.Ended(lynxspool.NotSent)
 		}
--- a/internal/host/fastcgi/transport_test.go
+++ b/internal/host/fastcgi/transport_test.go
@@ -492,7 +492,7 @@
 		"moved":         func(h *host, _ *engine.Request) { h.Update("127.0.0.1:9", 0, true) },
 		"started anew":  func(h *host, _ *engine.Request) { h.Update(h.addr, 7, true) },
 		"over":          func(_ *host, x *engine.Request) { x.Close() },
-		"window closed": func(_ *host, x *engine.Request) { x.GoBy = time.Now() },
+		"window closed": func(_ *host, x *engine.Request) { x.WriteBy = time.Now() },
 	} {
 		r := startResponder(t, "end", func(c net.Conn, id uint16, _ map[string]string, _ string) { c.Write(good(id, "yes")) })
 		tr, h := hostAt(t, r.Addr().String())
--- a/internal/host/http1/flow.go
+++ b/internal/host/http1/flow.go
@@ -180,7 +180,7 @@
 	}
 	head := encodeHead(x, joinMost)
 	all := len(head) + len(held) + len(tail)
-	until := x.GoBy
+	until := x.WriteBy
 	if !strict || !x.Body.Whole() {
 		if idle := time.Now().Add(streams(x).Pace.Idle); until.IsZero() || idle.Before(until) {
 			until = idle
@@ -225,7 +225,7 @@
 			return engine.Ended(lynxspool.TimedOut)
 		case ctx.Err() != nil:
 			return engine.Ended(lynxspool.Canceled)
-		case errors.Is(err, errSpoilt):
+		case errors.Is(err, errMalformed):
 			return engine.Ended(lynxspool.Spoilt)
 		}
 		return engine.Ended(lynxspool.Reset)
@@ -291,7 +291,7 @@
 }
 
 // readAnswer reads the head of the final answer, and its body where that is short; else rest
-// is where the body flows from. What comes but is no answer that is sure to be whole is errSpoilt,
+// is where the body flows from. What comes but is no answer that is sure to be whole is errMalformed,
 // at once where it can be told: it guards clients against being served with what no host made.
 func (c *conn) readAnswer(t *Transport, x *engine.Request, up *upload) (a engine.Answer, rest *answerSource, err error) {
 	began := false
@@ -300,7 +300,7 @@
 		// Where the connection ends within an answer the host has gone; where it stays open
 		// and no answer comes of what it brings, that is all there will be.
 		if began && err != nil && (c.limit.N <= 0 || errors.Is(err, os.ErrDeadlineExceeded)) {
-			err = errSpoilt
+			err = errMalformed
 		}
 	}()
 	for {
@@ -318,7 +318,7 @@
 		// Noise may lack a line's end: it need not be waited for.
 		first, _ = c.in.Peek(min(c.in.Buffered(), len(protoPrefix)))
 		if !strings.HasPrefix(protoPrefix, string(first)) {
-			return a, nil, errSpoilt
+			return a, nil, errMalformed
 		}
 		if c.proto, a.Status, a.Header, err = c.readHead(); err != nil {
 			return a, nil, err
@@ -334,7 +334,7 @@
 			}
 		case a.Status == http.StatusSwitchingProtocols:
 			if x.Upgrade == "" || !x.Body.Whole() {
-				return a, nil, errSpoilt // nobody has asked for that
+				return a, nil, errMalformed // nobody has asked for that
 			}
 			a.Kind = engine.Served
 			return a, nil, nil
@@ -369,11 +369,11 @@
 	}
 	switch {
 	case len(lengths)+len(encodings) > 1:
-		return nil, errSpoilt
+		return nil, errMalformed
 	case len(lengths) == 1:
 		n, err := strconv.ParseInt(lengths[0], 10, 64)
 		if err != nil || n < 0 || strings.Trim(lengths[0], "0123456789") != "" || strict && n > maxAnswer {
-			return nil, errSpoilt
+			return nil, errMalformed
 		}
 		if n <= maxBody {
 			text := body.Page(n)
@@ -392,14 +392,14 @@
 		}
 	case len(encodings) == 1:
 		if !strings.EqualFold(strings.TrimSpace(encodings[0]), "chunked") {
-			return nil, errSpoilt
+			return nil, errMalformed
 		}
 		s.chunked, s.reader = true, httputil.NewChunkedReader(c.in)
 		if strict {
 			return c.holdOpen(s, a)
 		}
 	case strict && !closes(a.Header):
-		return nil, errSpoilt // nothing would tell a whole body from a cut one
+		return nil, errMalformed // nothing would tell a whole body from a cut one
 	default:
 		s.toEnd, s.reader = true, c.in
 		if strict {
@@ -416,7 +416,7 @@
 
 const (
 	// Of an answer in our protocol that is longer than maxBody, so much is held before any of it
-	// goes on, if it comes within holdTime: most that are spoilt show by then, and the request
+	// goes on, if it comes within holdTime: most that are malformed show by then, and the request
 	// can have another attempt. The time of an answer is that of its first bytes.
 	holdMost = 512 << 10
 	holdTime = 25 * time.Millisecond
@@ -479,7 +479,7 @@
 		body.Recycle(held)
 		var broken net.Error
 		if err != io.ErrUnexpectedEOF && !errors.As(err, &broken) {
-			err = errSpoilt // a chunk that is none
+			err = errMalformed // a chunk that is none
 		}
 		return nil, err
 	}
@@ -565,7 +565,7 @@
 	}
 	h, err := textproto.NewReader(c.in).ReadMIMEHeader()
 	if err != nil {
-		return nil, errSpoilt
+		return nil, errMalformed
 	}
 	return http.Header(h), nil
 }
--- a/internal/host/http1/transport.go
+++ b/internal/host/http1/transport.go
@@ -440,7 +440,7 @@
 		// The dial may have taken long: look again whether the request may go out. It
 		// guards against sending to a host that drains by now, has moved or was started anew,
 		// what has its answer, or a repeat that hosts would not know for one any more.
-		if !x.MayGo() || !p.current(c) {
+		if !x.MayWrite() || !p.current(c) {
 			p.put(c)
 			return engine.Ended(lynxspool.NotSent)
 		}
@@ -463,7 +463,7 @@
 	return lynxspool.NotSent
 }
 
-var errSpoilt = errors.New("gateway: the answer is spoilt")
+var errMalformed = errors.New("gateway: the response is malformed")
 
 // bodyless says whether an answer has no body, whatever its headers say (RFC 9112, 6.3).
 func bodyless(method string, status int) bool {
@@ -493,12 +493,12 @@
 	status, err = strconv.Atoi(code)
 	if err != nil || len(code) != 3 || status < 100 ||
 		proto != "HTTP/1.1" && proto != "HTTP/1.0" {
-		return "", 0, nil, errSpoilt
+		return "", 0, nil, errMalformed
 	}
 	fields, err := c.text.ReadMIMEHeader()
 	var malformed textproto.ProtocolError
 	if errors.As(err, &malformed) {
-		err = errSpoilt
+		err = errMalformed
 	}
 	return proto, status, http.Header(fields), err
 }
--- a/internal/host/http1/transport_test.go
+++ b/internal/host/http1/transport_test.go
@@ -730,7 +730,7 @@
 		"moved during a dial":             func(p *Transport, h *host, _ *engine.Request) { p.update(h, "127.0.0.1:9", 0, true) },
 		"started anew during a dial":      func(p *Transport, h *host, _ *engine.Request) { p.update(h, h.addr, 7, true) },
 		"over during a dial":              func(_ *Transport, _ *host, x *engine.Request) { x.Close() },
-		"its window closes during a dial": func(_ *Transport, _ *host, x *engine.Request) { x.GoBy = time.Now() },
+		"its window closes during a dial": func(_ *Transport, _ *host, x *engine.Request) { x.WriteBy = time.Now() },
 	} {
 		p, server := newTestPool(), testkit.NewHost(t, testkit.Says(testkit.Good))
 		h, x := pooled(p, server.Addr()), newExchange("b")
@@ -760,7 +760,7 @@
 	p.dialer.Control = small(syscall.SO_SNDBUF)
 	h := pooled(p, ln.Addr().String())
 	x := newExchange(strings.Repeat("x", maxBody))
-	x.GoBy = time.Now().Add(100 * time.Millisecond)
+	x.WriteBy = time.Now().Add(100 * time.Millisecond)
 	if got, _ := tryOnce(t, p, h, x); got != lynxspool.ConnectFailed {
 		t.Errorf("result %v, want ConnectFailed", got)
 	}
