A request whose client had gone when it was read is not begun

It was handed to the module all the same, and only an attempt's last look, or luck in the order of goroutines, kept it from a host. Now Do begins nothing where the client has gone, and gives back what the request holds. TestClientGoneBeforeItsRequestIsRead: one attempt is made without it.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -127,6 +127,13 @@
 // nobody waits, and nothing more goes out for it. The caller releases the answer, and closes
 // the flow of the request's body, if it has one.
 func (e *Engine) Do(ctx context.Context, x *Request) (a Answer, there bool) {
+	if ctx.Err() != nil && x.Close() {
+		// Whoever sent it had gone when it was read, maybe long ago.
+		if x.Done != nil {
+			x.Done()
+		}
+		return Answer{}, false
+	}
 	x.answer, x.exit = make(chan Answer, 1), &e.exit
 	if f := x.Body.Flow(); f != nil {
 		x.came = make(chan struct{}, 1)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -590,6 +590,25 @@
 	})
 }
 
+// A request whose client had gone when it was read is not begun, and what it holds is given back.
+func TestClientGoneBeforeItsRequestIsRead(t *testing.T) {
+	inWorld(t, func(w *world) {
+		f := newFake("a", says(200, time.Second))
+		p := w.pool(f, 3)
+		plan := w.use(testRoute(false), nil, p)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		done := 0
+		x := &Request{Method: "GET", Target: "/", Route: plan.routes[0], Deadline: time.Now().Add(time.Second), Done: func() { done++ }}
+		if _, there := w.Do(ctx, x); there {
+			t.Error("it has an answer")
+		}
+		if synctest.Wait(); f.count() != 0 || done != 1 || p.Inside() != 0 {
+			t.Errorf("%d attempts, given back %d times, %d inside", f.count(), done, p.Inside())
+		}
+	})
+}
+
 // A repeat of a keyed request is told when its window closes, counted from the first attempt that
 // may have run, and does not go out behind it. A safe one may go at any time.
 func TestRepeatIsOutByItsWindow(t *testing.T) {
