A listener that comes once the server is stopping is closed, and nothing taken from it

Read from the code: a process that takes over (GW_FD) serves once the list has come, or after 2 s. One that got SIGTERM in that time began to accept in the midst of its own stop, from a socket whose connections are the other process's business by then. Serve looks at stopping, as it did at closed. TestNothingIsTakenOnceStopping: without it the listener is served. The platform's plain start is not concerned.

--- a/internal/front/http1/clients_test.go
+++ b/internal/front/http1/clients_test.go
@@ -383,6 +383,32 @@
 	<-stopped
 }
 
+// A listener that comes once the server is told to stop is closed, as nobody would be served to the
+// end by it.
+func TestNothingIsTakenOnceStopping(t *testing.T) {
+	g := startGateway(t, withHosts(testkit.NewHost(t, testkit.Says(testkit.Good))))
+	stopped := make(chan struct{})
+	go func() {
+		g.server.Stop()
+		close(stopped)
+	}()
+	testkit.Until(t, "it stops", g.server.stopping.Load)
+	ln, served := testkit.Listen(t, "127.0.0.1:0", nil), make(chan error, 1)
+	go func() { served <- g.server.Serve(ln) }()
+	select {
+	case err := <-served:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-stopped:
+		t.Error("it serves by it")
+	}
+	if _, err := net.Dial("tcp", ln.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("the listener stays open: %v", err)
+	}
+	<-stopped
+}
+
 // Hundreds of connections that say nothing leave room for those that bring requests, at
 // the least number of descriptors in service; so do those idle for long, but none that
 // was used a moment ago is closed.
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -156,7 +156,9 @@
 		opts.Store(&ListenOptions{})
 		s.listeners[ln] = opts
 	}
-	if s.closed {
+	if s.closed || s.stopping.Load() {
+		// A process that takes over and is stopped while it waits for the list takes nothing.
+		delete(s.listeners, ln)
 		s.mu.Unlock()
 		ln.Close()
 		return nil
