--- a/internal/gateway/flow_test.go
+++ b/internal/gateway/flow_test.go
@@ -877,14 +877,17 @@
 	}
 }
 
+// firstOfAStream says one thing, and then nothing more while its client stays.
+func firstOfAStream(w http.ResponseWriter, r *http.Request) {
+	io.WriteString(w, "data: 1\n\n")
+	w.(http.Flusher).Flush()
+	<-r.Context().Done()
+}
+
 // At the exit of a drain, streams that are still on end so that their clients can tell, and
 // everything else has had its answer.
 func TestStreamsAtTheExit(t *testing.T) {
-	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
-		io.WriteString(w, "data: 1\n\n")
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	})
+	addr, _ := peer(t, firstOfAStream)
 	g := startAppliance(t, uploads("stream = true", addr))
 	var streams []io.ReadCloser
 	for range 10 {
@@ -914,11 +917,7 @@
 
 // A stream to an HTTP/1.0 client, to whom the connection's end is the answer's, is reset at the exit.
 func TestOldClientsStreamAtTheExit(t *testing.T) {
-	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
-		io.WriteString(w, "data: 1\n\n")
-		w.(http.Flusher).Flush()
-		<-r.Context().Done()
-	})
+	addr, _ := peer(t, firstOfAStream)
 	g := startAppliance(t, uploads("stream = true", addr))
 	c, err := net.Dial("tcp", strings.TrimPrefix(g.urls[0], "http://"))
 	if err != nil {
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -94,9 +94,8 @@
 	}
 }
 
-// A client that comes back sooner than it was told to has its answer at once, and then its next
-// request read later; what is worth most is not held to that.
-func TestComingBackTooSoon(t *testing.T) {
+// underPressure is a box that sheds what is worth least, its host, and a client's connection to it.
+func underPressure(t *testing.T) (*testkit.Host, *appliance, net.Conn, *bufio.Reader) {
 	host := testkit.NewHost(t, testkit.Says(testkit.Good))
 	g := limitBox(t, "", host)
 	g.engine.Sample(overload.Sample{Heap: 1})
@@ -105,9 +104,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(testkit.Patience))
-	in := bufio.NewReader(c)
+	return host, g, c, bufio.NewReader(c)
+}
+
+// A client that comes back sooner than it was told to has its answer at once, and then its next
+// request read later; what is worth most is not held to that.
+func TestComingBackTooSoon(t *testing.T) {
+	_, g, c, in := underPressure(t)
 	ask := func(text string) (int, time.Duration) {
 		t.Helper()
 		g.engine.Sample(overload.Sample{Heap: 1})
@@ -137,17 +142,7 @@
 // What a client sends on a connection that is left unread has waited there, and its time counts: it
 // goes to no host behind it, and the next has all of its own.
 func TestTimeCountsWhileLeftUnread(t *testing.T) {
-	host := testkit.NewHost(t, testkit.Says(testkit.Good))
-	g := limitBox(t, "", host)
-	g.engine.Sample(overload.Sample{Heap: 1})
-	testkit.Until(t, "there is pressure", func() bool { return g.engine.Overload.Pressure() > 4.5 })
-	c, err := net.Dial("tcp", strings.TrimPrefix(g.urls[0], "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(testkit.Patience))
-	in := bufio.NewReader(c)
+	host, g, c, in := underPressure(t)
 	for i, tt := range []struct {
 		request string
 		served  bool
