Engine: a client that leaves as its attempt's end is told no longer ends the process

Seen: a new test in which clients leave right behind an error answer ended the process with 'engine: attempt of an unknown request or host'. Cause: Pool.over asked x.over twice, once for the module (Closed) and once in release. A client that left between the two had its request forgotten by the engine while the module, told that it was open, sent it again; send then panics. The window is the module's own time for one outcome, so it is hit by bursts of clients that leave.

Mend: it is asked once. A request that was still open when the module was told is kept until the event of whoever finished it, which always follows (abandon). Ruled out: send, answer, moves and abandon, which either do not forget or run behind the module's word.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"lynxspool"
 	"lynxspool/internal/body"
 	"lynxspool/internal/discovery"
+	"lynxspool/internal/flight"
 	"lynxspool/internal/route"
 )
 
@@ -609,6 +611,44 @@
 	})
 }
 
+// leavingBehind is a module whose client leaves right behind the end of an attempt.
+type leavingBehind struct {
+	flight.Module
+	leave func()
+}
+
+func (m leavingBehind) Outcome(now lynxspool.Time, o lynxspool.Outcome) {
+	m.Module.Outcome(now, o)
+	m.leave()
+}
+
+// A client leaves as the end of an attempt is being told, which calls for another: the request is kept
+// until its leaving is told too. It guards against an attempt of what has been forgotten, which ends the process.
+func TestClientLeavesAsItsAttemptEnds(t *testing.T) {
+	inWorld(t, func(w *world) {
+		f := newFake("a", ends(lynxspool.Full))
+		p := w.pool(f, 3)
+		plan := w.use(testRoute(false), nil, p)
+		ctx, leave := context.WithCancel(context.Background())
+		x := &Request{Method: "GET", Target: "/", Route: plan.routes[0], Class: look, Deadline: time.Now().Add(time.Second)}
+		p.ask(func(lynxspool.Time) {
+			p.bal = leavingBehind{p.bal, func() {
+				leave()
+				for !x.Over() {
+					runtime.Gosched() // it is finished by a goroutine of its own
+				}
+			}}
+		})
+		if _, there := w.Do(ctx, x); there {
+			t.Error("it has an answer")
+		}
+		time.Sleep(time.Second) // the attempt that was begun, which the fake host does not call off, ends
+		if synctest.Wait(); p.Inside() != 0 {
+			t.Errorf("%d inside", p.Inside())
+		}
+	})
+}
+
 // A repeat of a keyed request is told when its window closes, counted from the first attempt that
 // may have run, and does not go out behind it. A safe one may go at any time.
 func TestRepeatIsOutByItsWindow(t *testing.T) {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -432,11 +432,16 @@
 	}
 	x.proved = x.proved && !outcome.MayHaveRun()
 	x.unreached = x.unreached && (outcome == lynxspool.ConnectFailed || outcome == lynxspool.NotSent)
+	// Asked once: whoever finishes it between the module's being told and its release says so by an
+	// event of its own, and until that the module may send again.
+	closed := x.Over()
 	p.bal.Outcome(now, lynxspool.Outcome{
 		Request: x.id, Attempt: n, Result: outcome,
-		Elapsed: took, Closed: x.over.Load(),
+		Elapsed: took, Closed: closed,
 	})
-	p.engine.release(x)
+	if closed {
+		p.engine.release(x)
+	}
 	p.perform(now)
 }
 
