No attempt behind a client's close: a look at who has left right before the first byte

Seen: by a forced test, with whoever hears of leavers held up as on a busy machine, further attempts went out behind an error answer, a refusal, a reset, noise and a cut answer, for an end, a half end and a reset alike; with the engine's loop busy as 200 clients left, 768 attempts. Cause: before the first byte only Request.Over was looked at, which is set two goroutines behind the event (leaving.run, then Engine.Do), and both may wait for their turn while attempts go out. And a client whose long body was half sent as it left was not given up at all while its request waited for a host (serveStreams): it waited to the module's refusal, or went out.

Change: Request.Client.Gone is asked in MayWrite; on HTTP/1.1 it takes the events of the epoll set itself (leaving.look), under one lock from the look to the telling, so that an event that another goroutine has taken but not told is not missed. One system call an attempt. serveStreams gives up where nothing of the flow has been taken; where it has, the client is told as before. Ruled out: the engine's queue (Over and Gone do not pass through it) and the place of the look (behind the dial and the rest of a kept connection, and made anew for each connection that an attempt tries).

Cost of the look beside load: not measured.

--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -26,6 +26,9 @@
 	// while the request is open, and must not wait long.
 	Inform func(status int, header http.Header)
 
+	// Client, if set, is whose request it is.
+	Client Client
+
 	// Done, if set, is called once the request is over and no attempt uses its body any more.
 	Done func()
 
@@ -64,10 +67,17 @@
 // Over says whether it has its answer or nobody waits for one: nothing may go out for it.
 func (x *Request) Over() bool { return x.over.Load() }
 
-// MayWrite says whether an attempt may be written now: nobody has the answer yet, and its time for
-// that is not over.
+// MayWrite says whether an attempt may be written now: nobody has the answer yet, its time for
+// that is not over, and its client is still there.
 func (x *Request) MayWrite() bool {
-	return !x.Over() && (x.WriteBy.IsZero() || time.Now().Before(x.WriteBy))
+	return !x.Over() && (x.WriteBy.IsZero() || time.Now().Before(x.WriteBy)) && (x.Client == nil || !x.Client.Gone())
+}
+
+// Client is whoever waits for an answer.
+type Client interface {
+	// Gone looks whether it has left. It does not wait, and not for its turn either: whoever hears
+	// of those who leave by an event may not have had his on a busy machine.
+	Gone() bool
 }
 
 // epoch is what instants kept as numbers count from.
--- a/internal/front/http1/clients_test.go
+++ b/internal/front/http1/clients_test.go
@@ -34,12 +34,15 @@
 	gate   *front.Gate
 	server *Server
 	url    string
+	end    func() // ends it at once, with its connections to hosts
 }
 
 // testConfig is what these tests change of it.
 type testConfig struct {
 	hosts   []*testkit.Host
 	Sockets int
+	streams *engine.Streams // how bodies flow; nil: all are held
+	judged  func()          // called in the engine's loop with each answer of a host; nil: it isn't
 }
 
 func withHosts(hosts ...*testkit.Host) *testConfig { return &testConfig{hosts: hosts, Sockets: 1024} }
@@ -72,7 +75,11 @@
 	pool.Members(lynxspool.ListFull, list)
 	e.Use(e.NewPlan(nil, []*engine.Route{{
 		Classes: set.Classes, Names: map[string]int{"look": 0, "book": 1, "report": 2},
+		Streams: cfg.streams,
 		Judge: func(a *engine.Answer) lynxspool.Result {
+			if cfg.judged != nil {
+				cfg.judged()
+			}
 			return route.Protocol(a.Status, a.Header.Get("X-Not-Processed") == "1")
 		},
 	}}, nil, engine.PoolUse{Pool: pool, Need: 1}))
@@ -81,11 +88,12 @@
 	ln := testkit.Listen(t, "127.0.0.1:0", nil)
 	g.url = "http://" + ln.Addr().String()
 	go g.server.Serve(ln)
-	t.Cleanup(func() {
+	g.end = func() {
 		g.server.Close()
 		cancel()
 		e.Wait(testkit.Patience)
-	})
+	}
+	t.Cleanup(g.end)
 	return g
 }
 
--- a/internal/front/http1/conn.go
+++ b/internal/front/http1/conn.go
@@ -30,9 +30,10 @@
 // something in it.
 type clientConn struct {
 	*net.TCPConn
-	raw  syscall.RawConn
-	id   uint64 // among those watched for leaving
-	opts *ListenOptions
+	raw   syscall.RawConn
+	among *leaving
+	id    uint64 // among those watched for leaving
+	opts  *ListenOptions
 
 	client netip.Addr // whom the PROXY header names
 	peer   front.Peer
@@ -112,6 +113,12 @@
 	}
 }
 
+// Gone looks whether the client has left.
+func (c *clientConn) Gone() bool {
+	c.among.look()
+	return c.ctx.Err() != nil
+}
+
 func (c *clientConn) buffered() int { return c.w - c.r }
 
 // took takes n bytes out of the buffer, and lets go of it with the last.
--- a/internal/front/http1/leaving.go
+++ b/internal/front/http1/leaving.go
@@ -8,15 +8,18 @@
 
 // leaving sees clients leave, also while nothing is read from them. One epoll set has every
 // connection, for nothing but its end, edge-triggered; it waits in the runtime's poller. A
-// connection costs one call when it comes and nothing after that.
+// connection costs one call when it comes, and each attempt for it one that looks again.
 type leaving struct {
 	file *os.File
 	raw  syscall.RawConn
 	fd   int
 
-	mu    sync.Mutex
-	conns map[uint64]*clientConn
-	last  uint64
+	mu     sync.Mutex
+	conns  map[uint64]*clientConn
+	last   uint64
+	events [leftAtOnce]syscall.EpollEvent
+
+	ended chan struct{} // closed when run has returned
 }
 
 // ends are the events of a connection whose peer has ended its side, or that is broken.
@@ -37,7 +40,7 @@
 		syscall.Close(fd)
 		return nil, os.NewSyscallError("fcntl", err)
 	}
-	l := &leaving{file: os.NewFile(uintptr(fd), "epoll"), fd: fd, conns: map[uint64]*clientConn{}}
+	l := &leaving{file: os.NewFile(uintptr(fd), "epoll"), fd: fd, conns: map[uint64]*clientConn{}, ended: make(chan struct{})}
 	if l.raw, err = l.file.SyscallConn(); err != nil {
 		l.file.Close()
 		return nil, err
@@ -50,7 +53,7 @@
 func (l *leaving) add(c *clientConn) error {
 	l.mu.Lock()
 	l.last++
-	c.id = l.last
+	c.among, c.id = l, l.last
 	l.conns[c.id] = c
 	l.mu.Unlock()
 	var err error
@@ -85,23 +88,33 @@
 }
 
 func (l *leaving) run() {
-	events := make([]syscall.EpollEvent, leftAtOnce)
+	defer close(l.ended)
+	l.raw.Read(func(fd uintptr) bool { // to the close
+		l.lookAt(fd)
+		return false
+	})
+}
+
+// look has all seen that have left by now.
+func (l *leaving) look() {
+	l.raw.Control(func(fd uintptr) { l.lookAt(fd) }) // it fails where it is closed
+}
+
+// lookAt takes the events that are there. Its lock is held from the look on: else whoever looks next would
+// find nothing, with one who has left yet to be told.
+func (l *leaving) lookAt(fd uintptr) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for {
-		n := 0
-		err := l.raw.Read(func(fd uintptr) bool {
-			n = ready(func() (int, error) { return syscall.EpollWait(int(fd), events, 0) })
-			return n > 0
-		})
-		if err != nil {
-			return // it is closed
-		}
-		l.mu.Lock()
-		for _, ev := range events[:n] {
+		n := ready(func() (int, error) { return syscall.EpollWait(int(fd), l.events[:], 0) })
+		for _, ev := range l.events[:n] {
 			if c := l.conns[uint64(uint32(ev.Fd))|uint64(uint32(ev.Pad))<<32]; c != nil {
 				c.left()
 			}
 		}
-		l.mu.Unlock()
+		if n < len(l.events) {
+			return
+		}
 	}
 }
 
--- a/internal/front/http1/plain.go
+++ b/internal/front/http1/plain.go
@@ -186,13 +186,14 @@
 	}
 	flow, ctx := x.Body.Flow(), c.ctx
 	if flow != nil {
-		// A client that ends its side with its body half sent is still there, and is told.
+		// A client that ends its side with its body half sent is told, where that is on its way to a
+		// host; what has yet to go there is not sent.
 		own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		defer cancel()
 		source := c.flows
 		source.gone = cancel
 		defer context.AfterFunc(ctx, func() {
-			if source.whole.Load() {
+			if source.whole.Load() || !flow.Taken() {
 				cancel()
 			}
 		})()
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -473,6 +473,7 @@
 	if p := x.Route.Plain; p != nil && p.Upgrades > 0 && c.body == nil {
 		x.Upgrade = r.Upgrade
 	}
+	x.Client = c
 	x.Arrived(came)
 	return x, nil
 }
--- a/internal/host/http1/transport_test.go
+++ b/internal/host/http1/transport_test.go
@@ -723,6 +723,11 @@
 	}
 }
 
+// gone is a client that has left.
+type gone struct{}
+
+func (gone) Gone() bool { return true }
+
 // The list may change, or the request end, while a dial is on: nothing goes out then.
 func TestLookAgainBeforeTheWrite(t *testing.T) {
 	for name, change := range map[string]func(p *Transport, h *host, x *engine.Request){
@@ -730,6 +735,7 @@
 		"moved during a dial":             func(p *Transport, h *host, _ *engine.Request) { p.update(h, "127.0.0.1:9", 0, true) },
 		"started anew during a dial":      func(p *Transport, h *host, _ *engine.Request) { p.update(h, h.addr, 7, true) },
 		"over during a dial":              func(_ *Transport, _ *host, x *engine.Request) { x.Close() },
+		"its client leaves during a dial": func(_ *Transport, _ *host, x *engine.Request) { x.Client = gone{} },
 		"its window closes during a dial": func(_ *Transport, _ *host, x *engine.Request) { x.WriteBy = time.Now() },
 	} {
 		p, server := newTestPool(), testkit.NewHost(t, testkit.Says(testkit.Good))
