What discovery has is acted on within 4.7 s of its return, whatever calls failed before

Cause: a change counts as told 6 s after discovery had it and could be reached, and 4 s after SIGHUP. In virtual time, before: 6.5 s (asked for, calls refused), 7.6 s (a dial hung), 7.4 s (all watches ended late), 19.6 s with an ask_within of a minute, 4.55 s after SIGHUP (pushed, the first call hung). To blame: lostList (waits to 7.5 s, or more with ask_within, behind calls that hung 4.5 s; not ended by a call that was answered with heartbeats alone), watchSilence of 4.5 s, questions kept while a call was under way. Where lists are pushed calls came 1 s apart, over the grace of 500 ms of drains that an agent has at once.

Change: a call is given up after 3 s, and made again within 250 ms (pushed) or by the module within 3.75 s, in which the time counts that a call hung, and 10 s of ask_within at most. A new address is called once more at once, a heartbeat tells the module that its call was answered, and a question that a call under way has answered is dropped.

Result: go test -run 'TestTold|TestAllWatches' -v ./internal/discovery: 0.25 s refused, 1.22 a dial hung, 3.21 hung (pushed); 3.60, 3.16 and 3.86 (asked for, also within a minute); 3.00 after a move. By the code 4.69 s is the longest path. With -race ./internal/discovery passes (25 s), and the root without -race. Each guard taken out fails: watchSilence (4.53), watchMost (982 ms), the growth of waits (6.04), the time hung (5.23), askMost (9.02), the heartbeat told (5.62), the second call at a new address (3.88), the two items taken (calls nobody asked for). No test that was there is changed.

--- a/balancer.go
+++ b/balancer.go
@@ -1204,7 +1204,9 @@
 	b.wake(b.watchAt, tokenWatch<<tokenShift)
 }
 
-// lostList asks again with a growing, jittered back-off; the old list stands.
+// lostList asks again with a growing, jittered back-off; the old list stands. However often calls
+// failed, what has changed counts as told 6 s after discovery can be reached: the back-off is bounded,
+// and runs from the begin of a call that hung.
 func (b *Balancer) lostList() {
 	if b.watching || b.watchFails == 0 {
 		b.log(logLost, "host list lost, asking again")
@@ -1213,9 +1215,13 @@
 	if !b.set.Ask {
 		return
 	}
-	d := float64(b.set.AskWithin) / 16 * float64(int(1)<<min(b.watchFails, 3))
+	first := Time(float64(b.set.AskWithin) / 16 * (0.5 + b.float()))
+	wait := first << min(b.watchFails, 2)
+	if hung := b.now - (b.watchAt - b.set.AskWithin); hung > first { // since the last question
+		wait = max(first, wait-hung)
+	}
 	b.watchFails++
-	b.watchIn(Time(d * (0.5 + b.float())))
+	b.watchIn(wait)
 }
 
 func (b *Balancer) foundList() {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -24,14 +24,18 @@
 
 	// heartbeat is how often an empty line comes on a watch while nothing changes.
 	heartbeat = 2 * time.Second
-	// watchSilence is how long a watch may bring nothing before it is taken for dead: two heartbeats
-	// are missing then, and a part of one is for a busy machine. What a silent watch misses counts as
-	// told 6 s after its silence began, which may be right behind a heartbeat: a new one must have
-	// brought it by then.
-	watchSilence = 2*heartbeat + heartbeat/4
+	// watchSilence is how long a call may bring nothing before it is given up: a heartbeat is missing
+	// then, and half of one is for a busy machine. What a silent watch misses counts as told 6 s
+	// after its silence began, which may be right behind a heartbeat, and what discovery has 6 s after
+	// it can be reached, which may be right behind the begin of a call that hangs: a new call must
+	// have brought it by then, in its turn where it is one of a whole fleet's.
+	watchSilence = heartbeat + heartbeat/2
 	watchDial    = time.Second
-	watchBackoff = 50 * time.Millisecond // before a new watch, doubled to watchMost
-	watchMost    = time.Second
+	// watchBackoff is the time before a new call, doubled to watchMost. An agent answers at once and
+	// at no cost, and what it has counts as told also without a watch: drains that it gets as
+	// discovery returns have to be heard within the grace for them, half a second and more.
+	watchBackoff = 50 * time.Millisecond
+	watchMost    = 250 * time.Millisecond
 	maxList      = 16 << 20 // bytes of one list, white space aside
 )
 
@@ -87,13 +91,13 @@
 	}
 	d.addr, d.version = addr, 0
 	d.moves++
-	if d.leave != nil {
-		d.leave(errMoved)
-	}
 	select {
 	case d.moved <- struct{}{}:
 	default: // Run has yet to see the one before
 	}
+	if d.leave != nil {
+		d.leave(errMoved) // by then the item above is there
+	}
 }
 
 // told takes note of a version, unless the watch that brought it has been left: it
@@ -108,17 +112,21 @@
 	return true
 }
 
-// Run watches the list until ctx ends. A watch that breaks is begun anew, soon at
-// first; where the module has to ask, it is told instead and decides when.
+// Run watches the list until ctx ends. A call that fails is made again, soon at first; where the
+// module has to ask, it is told instead and decides when. A new address is called once more at once.
 func (d *Watcher) Run(ctx context.Context, to Sink) {
 	backoff, lost := watchBackoff, false
+	ahead := 0 // calls that wait for nothing
 	for ctx.Err() == nil {
-		if d.ask {
+		if ahead > 0 {
+			ahead--
+		} else if d.ask {
 			select {
 			case <-ctx.Done():
 				return
 			case <-d.asked:
 			case <-d.moved:
+				ahead = 1
 			}
 		}
 		heard, err := d.watch(ctx, to)
@@ -126,24 +134,29 @@
 			return
 		}
 		if errors.Is(err, errMoved) {
-			backoff, lost = watchBackoff, false
+			take(d.moved)
+			backoff, lost, ahead = watchBackoff, false, 2
 			continue
 		}
 		if heard {
-			backoff, lost = watchBackoff, false
+			backoff, lost, ahead = watchBackoff, false, 0
 		}
 		if !lost {
 			slog.Warn("watch of the host list lost, watching anew", "err", err)
 			lost = true
 		}
+		if ahead > 0 {
+			continue
+		}
 		if d.ask {
+			take(d.asked) // what was asked for meanwhile is what this call was for
 			to.Members(lynxspool.ListFailed, MemberList{})
 			continue
 		}
 		select {
 		case <-ctx.Done():
 		case <-d.moved:
-			backoff, lost = watchBackoff, false
+			backoff, lost, ahead = watchBackoff, false, 2
 			continue
 		case <-time.After(backoff):
 		}
@@ -151,6 +164,14 @@
 	}
 }
 
+// take takes an item out, if there is one.
+func take(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+	}
+}
+
 // watch holds one watch until it ends and says whether it brought anything.
 func (d *Watcher) watch(ctx context.Context, to Sink) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -179,7 +200,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	stream := &stream{from: resp.Body, beat: func() { silence.Reset(d.Silence); heard = true }}
+	alive := func() { silence.Reset(d.Silence); heard = true }
+	stream := &stream{from: resp.Body, beat: func() {
+		if d.ask && !heard && version > 0 && d.told(moves, version) {
+			// The call that the module asked for has been answered: nothing has changed.
+			to.Members(lynxspool.ListChanges, MemberList{Version: version})
+		}
+		alive()
+	}}
 	for in := json.NewDecoder(stream); ; {
 		var list MemberList
 		if err := in.Decode(&list); err == io.EOF {
@@ -191,7 +219,7 @@
 			// whole: the whole list is the dearest there is, and no gateway is alone in this.
 			return false, fmt.Errorf("discovery's list: %w", err)
 		}
-		stream.beat()
+		alive()
 		stream.size = 0
 		if !list.Full && list.Version < version {
 			// Changes from before what is known: the service counts anew, or tells of
--- a/settings.go
+++ b/settings.go
@@ -11,6 +11,9 @@
 	maxTime   = 1000 * time.Hour
 	maxCount  = 1 << 20
 	maxFigure = 1e12
+	// askMost bounds AskWithin, from which the waits before a question follow: what changes counts as
+	// told 6 s after it could be heard, however long the settings let an instance go without.
+	askMost = 10 * time.Second
 )
 
 // check rejects what cannot be served, naming the field, and fills in defaults.
@@ -81,6 +84,7 @@
 	}
 	orDefault(&set.MaxAttempts, 3)
 	orDefault(&set.AskWithin, 10e9)
+	set.AskWithin = min(set.AskWithin, askMost)
 	orDefault(&set.ColdFrom, 1)
 	orDefault(&set.OverloadFactor, 2)
 	orDefault(&set.Fall, 1e9)
