Clients and hosts leave the process 19 descriptors at the least, of what the system allows

Cause: shares of clients (50 in 100) and hosts (42) left 6 of 64 descriptors, fewer than the process needs for itself, and limits.sockets was believed where RLIMIT_NOFILE is lower. With requests that hang at all hosts and idle clients beside, no call to discovery came up until they ended. From 238 on 8 in 100 are enough, and nothing changes there; accept holds one more than the share at most, and ends idle ones.

Change: below 238 both shares are reckoned from what is left behind 19 descriptors; five pools at 64 still have the four each that they must have. What RLIMIT_NOFILE allows bounds limits.sockets.

TestMain of the program bounds descriptors where the environment says so; no other test is changed.

--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -35,6 +35,7 @@
 // codes are those of a process.
 func TestMain(m *testing.M) {
 	if os.Getenv("DUNEMOOR_AS_PROGRAM") != "" {
+		boundFiles()
 		go tellAllocations()
 		main()
 		return
--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -680,8 +680,18 @@
 	}
 }
 
+// ownSockets is how many descriptors the process needs for itself at the least, however few it has:
+// the three it is started with, the runtime's two, a listener and its epoll set, the second address
+// and a call there, a watch of discovery and the one that takes its place, files that are read, and
+// a connection that is accepted or closed just now. 8 in 100 are left to that where there are more.
+const ownSockets = 19
+
+// SharedSockets is what the parts of clients and of hosts are reckoned from: all descriptors, but
+// where there are few.
+func SharedSockets(all int) int { return max(min(all, (all-ownSockets)*100/92), 0) }
+
 // HostSockets is the part of the descriptors that connections to hosts may take: 42 in 100.
-func HostSockets(all int) float64 { return 0.42 * float64(all) }
+func HostSockets(all int) float64 { return 0.42 * float64(SharedSockets(all)) }
 
 func (c *checker) routes(a *Appliance, f *applianceFile) {
 	if len(f.Route) == 0 {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"lynxspool"
@@ -128,6 +130,12 @@
 		return nil, fmt.Errorf("GW_CONFIG: %s: %w", path, err)
 	}
 	c.shape = shapeOf(all)
+	// What the system does not let the process have can't be parted among clients and hosts.
+	var files syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files) == nil && files.Cur < uint64(c.Sockets) {
+		slog.Warn("fewer descriptors than limits.sockets", "sockets", c.Sockets, "RLIMIT_NOFILE", files.Cur)
+		c.Sockets = int(files.Cur)
+	}
 	return c, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,8 +28,8 @@
 
 // Shares of the descriptors, in hundredths. Clients hold a third of all at most for
 // their requests; each request out holds one to a host, and the more of those stay
-// idle beside, the fewer handshakes. What is left is for the listener, two watches of
-// discovery and the runtime: 25 at the least limit in service, 256.
+// idle beside, the fewer handshakes. What is left, 19 at the least, is for the listener, two
+// watches of discovery and the runtime: nobody else may take it (config.SharedSockets).
 const (
 	clientSockets = 48
 	clientSpare   = 2
@@ -79,6 +79,7 @@
 // clientParts is how many of so many descriptors are for clients, and how many more before a
 // new connection is closed at once.
 func clientParts(sockets int) (most, spare int) {
+	sockets = config.SharedSockets(sockets)
 	most = sockets * clientSockets / 100
 	return most, sockets*(clientSockets+clientSpare)/100 - most
 }
