FastCGI hosts: a request is looked at when its records' turn has come, not ahead of the wait

Cause: on a connection that carries many requests an attempt looked at MayWrite, at the list and at the address, and then waited for the lock under which records go out. A responder that does not read holds that for as long as a write may take (a minute where the route names no pace), and the request went out behind it: its client long gone, its window closed, its host draining.

Change: conn.begin asks with the lock held, ahead of the first byte; Attempt's own look, which it replaces, is gone. Nothing was written where it says no, so the result is NotSent, and the id is free at once (Client.Drop). Later records of a request that has begun are written as before.

Measured: go test -race -run LookAgain ./internal/host/fastcgi: without the look TestLookAgainBehindOthersRecords (the responder stops reading, 32 MiB of another stand in the way, the client leaves) fails with one request out, and TestLookAgainBehindADial, which has a case more, fails too; with it 3 of 3 passed. go vet ./... and -race of gateway, front, host, engine and cmd/dunemoor passed.

--- a/internal/host/fastcgi/conn.go
+++ b/internal/host/fastcgi/conn.go
@@ -213,6 +213,25 @@
 func (c *conn) write(b []byte, within time.Duration) (int, error) {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
+	return c.put(b, within)
+}
+
+// begin is write for the first records of a request, which may have waited long for those of others:
+// may is asked when their turn has come.
+func (c *conn) begin(b []byte, within time.Duration, may func() bool) (int, error) {
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	if !may() {
+		return 0, errMayNot
+	}
+	return c.put(b, within)
+}
+
+// errMayNot says that a request must not go out any more.
+var errMayNot = errors.New("fastcgi: the request may not be written")
+
+// put is write; wmu is held.
+func (c *conn) put(b []byte, within time.Duration) (int, error) {
 	if c.broken != nil {
 		return 0, c.broken
 	}
@@ -242,7 +261,12 @@
 	if whole {
 		out = fastcgi.AppendEnd(out, fastcgi.Stdin, k.id)
 	}
-	n, err := c.write(out, pace(x).Idle)
+	// The dial may have taken long, or others that write: look again whether the request may go out.
+	n, err := c.begin(out, pace(x).Idle, func() bool { return x.MayWrite() && c.host.usable.Load() && c.host.t.current(c) })
+	if err == errMayNot {
+		c.forget(k)
+		return engine.Ended(lynxspool.NotSent)
+	}
 	if n == len(out) && whole {
 		c.mu.Lock()
 		k.sent = true
@@ -296,6 +320,16 @@
 	return x.Route.Streams
 }
 
+// forget gives up the place of a call of which nothing was written.
+func (c *conn) forget(k *call) {
+	c.mu.Lock()
+	delete(c.calls, k.id)
+	c.mu.Unlock()
+	c.in.Drop(k.id)
+	k.out.Close()
+	c.release()
+}
+
 // done gives up the place of a call. One that has not ended is called off.
 func (c *conn) done(k *call, whole bool) {
 	select {
--- a/internal/host/fastcgi/transport.go
+++ b/internal/host/fastcgi/transport.go
@@ -352,11 +352,6 @@
 		case err != nil:
 			return engine.Ended(lynxspool.ConnectFailed)
 		}
-		// The dial may have taken long: look again whether the request may go out.
-		if !x.MayWrite() || !h.usable.Load() || !t.current(c) {
-			c.release()
-			return engine.Ended(lynxspool.NotSent)
-		}
 		r := c.exchange(ctx, x)
 		if used && !r.Answered && r.Outcome == lynxspool.ConnectFailed && ctx.Err() == nil && !(r.Part && plain(x)) && !begun(x) {
 			// It ended before the last byte was out: nothing ran, and that tells nothing of the
--- a/internal/host/fastcgi/transport_test.go
+++ b/internal/host/fastcgi/transport_test.go
@@ -430,6 +430,73 @@
 	}
 }
 
+// leaver is a client that may leave.
+type leaver struct{ left atomic.Bool }
+
+func (l *leaver) Gone() bool { return l.left.Load() }
+
+// A request whose records wait behind those of others on a connection that its responder does not read is
+// looked at when their turn has come: it guards against one that goes out long behind its client.
+func TestLookAgainBehindOthersRecords(t *testing.T) {
+	hold := make(chan struct{})
+	var late atomic.Int64
+	r := startResponder(t, "mpx", func(c net.Conn, id uint16, vars map[string]string, _ string) {
+		switch vars["REQUEST_URI"] {
+		case "/stall":
+			<-hold // whoever reads is held up
+		case "/late":
+			late.Add(1)
+		}
+		c.Write(good(id, "good"))
+	})
+	tr, h := hostAt(t, r.Addr().String())
+	attempt(h, ask("POST", "/first", ""))
+	testkit.Until(t, "it has said what it can", func() bool {
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		return h.can.Multiplexes && len(h.conns) == 1
+	})
+	tr.mu.Lock()
+	c := h.conns[0]
+	tr.mu.Unlock()
+	var all sync.WaitGroup
+	others := func(target string, n int) {
+		all.Go(func() {
+			if _, text, err := attempt(h, ask("POST", target, strings.Repeat("x", n))); text != "good" || err != nil {
+				t.Errorf("%s: %q, %v", target, text, err)
+			}
+		})
+	}
+	others("/stall", 0)
+	testkit.Until(t, "it is out", func() bool { return r.runs.Load() == 2 })
+	others("/big", 32<<20) // more than all buffers on the way take
+	testkit.Until(t, "it is being written", func() bool {
+		if c.wmu.TryLock() {
+			c.wmu.Unlock()
+			return false
+		}
+		return c.in.Len() == 2
+	})
+	client := &leaver{}
+	x := ask("POST", "/late", "")
+	x.Client = client
+	result := make(chan engine.Result, 1)
+	go func() { res, _, _ := attempt(h, x); result <- res }()
+	testkit.Until(t, "it waits for its turn", func() bool { return c.in.Len() == 3 })
+	client.left.Store(true)
+	close(hold)
+	if res := <-result; res.Answered || res.Outcome != lynxspool.NotSent {
+		t.Errorf("%+v, want NotSent", res)
+	}
+	all.Wait()
+	if n := late.Load(); n != 0 {
+		t.Errorf("it went out %d times", n)
+	}
+	if _, text, err := attempt(h, ask("POST", "/", "")); text != "good" || err != nil {
+		t.Errorf("the next: %q, %v", text, err)
+	}
+}
+
 // A responder that does not know the question, or ends the connection for it, carries one request
 // at a time on each connection.
 func TestNoMultiplexing(t *testing.T) {
@@ -484,6 +551,11 @@
 	}
 }
 
+// gone is a client that has left.
+type gone struct{}
+
+func (gone) Gone() bool { return true }
+
 // A dial may take long: nothing goes out behind it to a host that drains, has moved or was started
 // anew meanwhile, nor for what is over or whose window has closed.
 func TestLookAgainBehindADial(t *testing.T) {
@@ -492,6 +564,7 @@
 		"moved":         func(h *host, _ *engine.Request) { h.Update("127.0.0.1:9", 0, true) },
 		"started anew":  func(h *host, _ *engine.Request) { h.Update(h.addr, 7, true) },
 		"over":          func(_ *host, x *engine.Request) { x.Close() },
+		"client gone":   func(_ *host, x *engine.Request) { x.Client = gone{} },
 		"window closed": func(_ *host, x *engine.Request) { x.WriteBy = time.Now() },
 	} {
 		r := startResponder(t, "end", func(c net.Conn, id uint16, _ map[string]string, _ string) { c.Write(good(id, "yes")) })
