FastCGI front: a web server's end is seen past a body that nobody takes yet

Cause: the goroutine that reads a connection waits while the body of a request has no taker (stallAlone, a minute, alone on its connection), as where the request waits for a host. The end of the connection behind what is unread was met only then, and the request's attempt went out meanwhile for a client that had gone.

Change: request.Gone, which MayWrite asks right before the first byte, polls the connection for the other side's end, whatever is unread, and calls the request off. One system call an attempt.

--- a/internal/front/fastcgi/request.go
+++ b/internal/front/fastcgi/request.go
@@ -122,6 +122,7 @@
 		return
 	}
 	defer x.End()
+	x.Client = r
 	a, there := r.c.s.gate.Engine.Do(r.ctx, &x.Request)
 	defer a.Release()
 	if !there {
@@ -152,6 +153,15 @@
 	}
 }
 
+// Gone looks whether the client has left: the web server has called its request off, or has ended the
+// connection, also where that is not read as a body that nobody takes stands before it.
+func (r *request) Gone() bool {
+	if r.c.ended() {
+		r.cancel()
+	}
+	return r.ctx.Err() != nil
+}
+
 // read reads the part of the body that is held; what is more flows.
 func (r *request) read(x *front.Entry, length int64) error {
 	pace, most := body.Pace{Idle: halfTime}, int64(front.MaxHeld)
--- a/internal/front/fastcgi/server.go
+++ b/internal/front/fastcgi/server.go
@@ -11,8 +11,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lynxspool/internal/body"
 	"lynxspool/internal/drain"
 	"lynxspool/internal/fastcgi"
@@ -327,6 +330,29 @@
 	}
 }
 
+// ended looks whether the web server has ended the connection, whatever of it is yet to be read.
+func (c *conn) ended() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		for {
+			var err error
+			if n, err = unix.Poll(p, 0); err != unix.EINTR {
+				return
+			}
+		}
+	})
+	return err != nil || n > 0 // or we have closed it
+}
+
 var errGone = errors.New("fastcgi: the web server has gone")
 
 // spoil ends a connection whose records have lost their order: requests that were whole are
--- a/internal/gateway/fastcgi_test.go
+++ b/internal/gateway/fastcgi_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -323,6 +324,60 @@
 	}
 }
 
+// closeWait says whether the other side of a TCP connection of this machine knows that ours has ended.
+func closeWait(t *testing.T, c net.Conn) bool {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ours := fmt.Sprintf(":%04X 08 ", c.LocalAddr().(*net.TCPAddr).Port)
+	return strings.Contains(string(table), ours)
+}
+
+// A web server ends its connection while a request's body stands before that which nobody takes yet,
+// as the request waits for a host: it goes to none.
+func TestFastCGIEndBehindABodyThatWaits(t *testing.T) {
+	var held, queued atomic.Int64
+	hold := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	addr, _ := peer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/queued" {
+			queued.Add(1)
+			return
+		}
+		held.Add(1)
+		<-hold
+	})
+	t.Cleanup(release)
+	g := startAppliance(t, uploads("", addr)+webListener)
+	w := dialWeb(t, g.cgiAddr())
+	const most = 4 // that a host of which nothing is known holds at once
+	for id := range uint16(most) {
+		w.Write(webRequest(id+1, fastcgi.KeepConn, webParams("POST", "/hold", "CONTENT_LENGTH", "0"), "", true))
+	}
+	testkit.Until(t, "the host is full", func() bool { return held.Load() == most })
+	inside := func() (n int64) {
+		plan := g.engine.Plan()
+		defer plan.Release()
+		plan.Pools(func(p *engine.Pool) { n += p.Inside() })
+		return n
+	}
+	left := dialWeb(t, g.cgiAddr())
+	body := strings.Repeat("x", 160<<10) // more than is held of it and read ahead, by what its connection has room for
+	left.Write(webRequest(1, fastcgi.KeepConn, webParams("POST", "/queued", "CONTENT_LENGTH", "1000000"), body, false))
+	testkit.Until(t, "it waits", func() bool { return inside() == most+1 })
+	left.Close()
+	testkit.Until(t, "its end has come", func() bool { return closeWait(t, left) })
+	release()
+	testkit.Until(t, "all is over", func() bool { return inside() == 0 })
+	if status, _ := w.ask(50, webParams("GET", "/"), ""); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	if n := queued.Load(); n != 0 {
+		t.Errorf("it went out %d times", n)
+	}
+}
+
 // Records out of order end the connection, but requests that came whole are answered first.
 func TestFastCGIOutOfOrder(t *testing.T) {
 	release := make(chan struct{})
