--- a/cmd/dunemoor/main_test.go
+++ b/cmd/dunemoor/main_test.go
@@ -90,9 +90,15 @@
 
 // startAs runs the program with the configuration at a path.
 func startAs(t testing.TB, path, listen string, args ...string) *program {
+	t.Helper()
+	return startBy(t, unusedAddr, path, listen, args...)
+}
+
+// startBy is startAs with discovery at an address.
+func startBy(t testing.TB, discovery, path, listen string, args ...string) *program {
 	t.Helper()
 	p := &program{Cmd: exec.Command(os.Args[0], args...), url: "http://" + listen, config: path, exited: make(chan struct{})}
-	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN="+listen, "GW_DISCOVERY="+unusedAddr)
+	p.Env = append(os.Environ(), "DUNEMOOR_AS_PROGRAM=1", "GW_CONFIG="+path, "GW_LISTEN="+listen, "GW_DISCOVERY="+discovery)
 	p.Stdout, p.Stderr = &p.out, &p.out
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
