--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -21,6 +21,6 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	cmd.CompletionOptions.DisableDefaultCmd = true
-	cmd.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), huntCommand(), fleetCommand())
+	cmd.AddCommand(runCommand(), sweepCommand(), compareCommand(), reportCommand(), huntCommand(), fleetCommand(), scaleCommand())
 	return cmd
 }
