lab scale: fleets of hollow gateways, with what the kernel counts of each

Need: what a fleet costs a gateway was known by the carrier's counter and a simulation alone. Both leave out the idle frame that each link sends a second and all headers and acknowledgements; and no size beyond 48 had been looked at on sockets. Ruled out: reaching into the carrier for its connections (sock_diag tells all of them from outside, of hollow processes and of the program's own alike), and the loopback device alone (it knows no gateway).

internal/scale/hollow runs fleets by the program's own files: internal/fleet and all below it on real sockets and disks, without what serves, many in a process (`lab scale hollow-host`, which ends with its standard input), or processes of the program in their place. Bytes and packets are TCP_INFO's by sock_diag(7), each connection of each process; a segment is taken as 52 bytes of IP and TCP with timestamps. Parts: mesh, mesh-real, duties, joins, changes, lost, record, sim.

--- a/cmd/lab/scale.go
+++ b/cmd/lab/scale.go
@@ -131,6 +131,7 @@
 			return errors.Join(failed...)
 		},
 	}
+	cmd.AddCommand(hollowHost())
 	f := cmd.Flags()
 	f.IntSliceVar(&sizes, "sizes", nil, "sizes in place of the part's own")
 	f.BoolVar(&small, "small", false, "the sizes of the test: seconds, and no figures to go by")
--- /dev/null
+++ b/cmd/lab/scale_fleet_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"lynxspool/internal/scale"
+)
+
+// Parts run hollow gateways in processes of their own program, which here is the test.
+func init() {
+	if hidden := []string{"scale", "hollow-host"}; slices.Equal(os.Args[1:], hidden) {
+		if err := root().Execute(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+}
+
+// value is what a report has of a series at a size.
+func value(t *testing.T, r *scale.Report, name, unit string, size float64) float64 {
+	t.Helper()
+	for _, s := range r.Series {
+		for _, p := range s.Points {
+			if s.Name == name && s.Unit == unit && p.Size == size {
+				return p.Value
+			}
+		}
+	}
+	t.Fatalf("nothing of %s, %s at %v: %+v", name, unit, size, r.Series)
+	return 0
+}
+
+// Each part of the fleet at its small sizes: what is counted has the shape that the code gives it.
+func TestScaleFleet(t *testing.T) {
+	if testing.Short() {
+		t.Skip("fleets of processes")
+	}
+	for name, check := range map[string]func(t *testing.T, r *scale.Report, sizes []int){
+		"mesh":      checkRest,
+		"mesh-real": checkRest,
+		"duties": func(t *testing.T, r *scale.Report, sizes []int) {
+			// More lists are more beats.
+			least, most := value(t, r, "gateway (median)", "bytes/s", float64(sizes[0])), value(t, r, "gateway (median)", "bytes/s", float64(sizes[len(sizes)-1]))
+			if least <= 0 || most <= least {
+				t.Errorf("%v bytes/s with %d duties, %v with %d", least, sizes[0], most, sizes[len(sizes)-1])
+			}
+		},
+		"joins": func(t *testing.T, r *scale.Report, sizes []int) {
+			for _, n := range sizes {
+				// Two connections to each other gateway, three segments to open each and four at least
+				// of the carrier's own handshake.
+				if x := value(t, r, "one that comes back", "packets until its first view", float64(n)); x < float64(2*(n-1)*7) {
+					t.Errorf("%d gateways: one came back by %v packets", n, x)
+				}
+				if x := value(t, r, "all at once", "KB on the loopback, a gateway", float64(n)); x <= 0 {
+					t.Errorf("%d gateways: %v KB", n, x)
+				}
+			}
+		},
+		"changes": func(t *testing.T, r *scale.Report, sizes []int) {
+			for _, n := range sizes {
+				if x := value(t, r, "leader", "fsyncs/s", float64(n)); x <= 0 {
+					t.Errorf("%d changes a second: %v fsyncs", n, x)
+				}
+			}
+			for _, note := range r.Notes {
+				if strings.Contains(note, ": 0 carried out") {
+					t.Error(note)
+				}
+			}
+		},
+		"lost": func(t *testing.T, r *scale.Report, sizes []int) {
+			for _, n := range sizes {
+				for unit, name := range map[string]string{
+					"s until another leads": "leader killed", "s until their sessions have lapsed everywhere": "a tenth killed", "s until they have sessions again": "a tenth killed",
+				} {
+					if x := value(t, r, name, unit, float64(n)); x <= 0 {
+						t.Errorf("%d gateways: %v %s", n, x, unit)
+					}
+				}
+			}
+		},
+		"record": func(t *testing.T, r *scale.Report, sizes []int) {
+			for _, n := range sizes {
+				if x := value(t, r, "a whole view", "KB of JSON", float64(n)); x <= 0 {
+					t.Errorf("%d gateways: %v KB", n, x)
+				}
+			}
+		},
+		"sim": func(t *testing.T, r *scale.Report, sizes []int) {
+			for _, n := range sizes {
+				if x := value(t, r, "a fleet played", "s", float64(n)); x <= 0 {
+					t.Errorf("%d gateways: %v s", n, x)
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := scaleParts[name]
+			if p == nil {
+				t.Fatal("there is no such part")
+			}
+			var said strings.Builder
+			e := &scaleEnv{Dir: t.TempDir(), Said: &said, Small: true}
+			r, err := scaleRun(context.Background(), e, p, nil)
+			if err != nil {
+				t.Fatal(err, said.String())
+			}
+			check(t, r, p.Small)
+		})
+	}
+}
+
+func checkRest(t *testing.T, r *scale.Report, sizes []int) {
+	for _, n := range sizes {
+		for _, role := range []string{"leader", "member"} {
+			// One connection each way between two.
+			if x := value(t, r, role, "connections", float64(n)); x != float64(2*(n-1)) {
+				t.Errorf("%d gateways: %s has %v connections", n, role, x)
+			}
+			// What is carried is less than what goes over the wire with headers, and the carrier's own
+			// counter not more than what its connections carried, but for what was out as it was looked at.
+			bytes, carried := value(t, r, role, "bytes/s", float64(n)), value(t, r, role, "bytes/s carried, out", float64(n))
+			if carried <= 0 || bytes <= carried {
+				t.Errorf("%d gateways: %s sends %v bytes/s, with headers and both ways %v", n, role, carried, bytes)
+			}
+		}
+	}
+}
