lab scale: the parts of one process of the program, routes to changes of configuration

What one gateway costs by routes, pools, hosts, tenants and changes was known from single runs at most, so nothing could be said of 55,000 routes or 180,000 hosts. Six parts start the real program anew for each size, read memory and CPU from /proc and fit a line; beyond a cap the reader's refusal is what is reported, with its place. nemesis.Process gets Pid, nothing else there changes. The error of a slope now holds the measure's resolution as well: points that were all 0 in ticks of 10 ms had none. The full sizes are not run yet.

--- /dev/null
+++ b/cmd/lab/scale_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Each part runs with its small sizes, and gives points for each of them and the refusals beyond
+// the caps.
+func TestScaleSmall(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "scale.json")
+	parts := []string{"routes", "pools", "hosts", "module", "tenants", "changes"}
+	out, err := lab(append([]string{"scale", "--small", "--json", file}, parts...)...)
+	if err != nil {
+		t.Fatal(err, "\n", out)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reports []struct {
+		Part, Command string
+		Series        []struct {
+			Name   string
+			Points []struct{ Size, Value float64 }
+			Fit    *struct{ Slope float64 }
+		}
+		Breaks []struct{ What, Where string }
+	}
+	if err := json.Unmarshal(text, &reports); err != nil || len(reports) != len(parts) {
+		t.Fatalf("%v: %d reports\n%s", err, len(reports), text)
+	}
+	for i, r := range reports {
+		if r.Part != parts[i] || !strings.Contains(r.Command, r.Part+" --small") || len(r.Series) == 0 {
+			t.Errorf("%+v", r)
+		}
+		for _, s := range r.Series {
+			if len(s.Points) != len(scaleParts[r.Part].Small) || s.Fit == nil {
+				t.Errorf("%s, %s: %+v", r.Part, s.Name, s)
+			}
+		}
+		if r.Part == "pools" || r.Part == "hosts" || r.Part == "tenants" {
+			if len(r.Breaks) == 0 || !strings.Contains(r.Breaks[0].What, "more than") {
+				t.Errorf("%s: no refusal beyond its cap: %+v", r.Part, r.Breaks)
+			}
+		}
+	}
+}
+
+func TestScaleArguments(t *testing.T) {
+	out, err := lab("scale", "--help")
+	if err != nil {
+		t.Fatal(out, err)
+	}
+	for name, p := range scaleParts {
+		if !strings.Contains(out, name+": "+p.About) || !strings.Contains(out, joinInts(p.Sizes)) || !strings.Contains(out, "about "+p.Takes) {
+			t.Errorf("%s is not explained:\n%s", name, out)
+		}
+	}
+	for _, args := range [][]string{{"scale", "none"}, {"scale", "routes", "pools", "--sizes", "1,2"}, {"scale", "routes", "--small", "--sizes", "1,2"}} {
+		if out, err := lab(args...); err == nil {
+			t.Errorf("%v: no error\n%s", args, out)
+		}
+	}
+}
--- a/internal/nemesis/process.go
+++ b/internal/nemesis/process.go
@@ -87,6 +87,9 @@
 	return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: uint64(bytes), Max: unix.RLIM_INFINITY}, nil)
 }
 
+// Pid is its number, for those who look at what the kernel says of it.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Ended is closed when the process has ended.
 func (p *Process) Ended() <-chan struct{} { return p.done }
 
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -70,7 +70,8 @@
 // A line it is when no point is further off than worstMost of its value, and the exponent of
 // a + b·size^p is 1 within exponentSlack or within two standard errors. A power it is when the
 // exponent differs from 1 by more than both, and a line misses a point by more than noise: a bend
-// too small for that changes no figure. What is neither is unclear, and named so.
+// too small for that changes no figure. Flat is what has a slope within two standard errors of 0.
+// What is none of these is unclear, and named so.
 const (
 	worstMost     = 0.15
 	exponentSlack = 0.1
@@ -120,7 +121,7 @@
 		x[i], y[i], w[i] = p.Size, p.Value, 1/(e*e)
 	}
 	f := &Fit{}
-	f.line(x, y, w)
+	f.line(x, y, w, s.Resolution)
 	for i := range x {
 		if y[i] != 0 {
 			off := max(0, math.Abs(y[i]-f.At(x[i]))-s.Resolution)
@@ -141,11 +142,12 @@
 // AtError is the standard error of At: that of the line, not of a single measurement.
 func (f *Fit) AtError(size float64) float64 {
 	d := size - f.mean
-	return math.Sqrt(f.variance * (1/f.sum + d*d/f.spread))
+	return math.Hypot(math.Sqrt(f.variance/f.sum), f.SlopeError*d)
 }
 
-// line sets slope and intercept with their errors.
-func (f *Fit) line(x, y, w []float64) {
+// line sets slope and intercept with their errors. What the measure can't tell apart is an error of
+// the slope as well (evenly spread over the resolution): else points that are all 0 would have none.
+func (f *Fit) line(x, y, w []float64, resolution float64) {
 	f.Intercept, f.Slope = stat.LinearRegression(x, y, w, false)
 	f.mean, f.sum = stat.Mean(x, w), 0
 	chi := 0.0
@@ -156,7 +158,12 @@
 		chi += w[i] * r * r
 	}
 	f.variance = chi / float64(len(x)-2)
-	f.SlopeError = math.Sqrt(f.variance / f.spread)
+	told := 0.0
+	for i := range x {
+		part := w[i] * (x[i] - f.mean) / f.spread * resolution
+		told += part * part / 12
+	}
+	f.SlopeError = math.Sqrt(f.variance/f.spread + told)
 }
 
 // Exponents that are looked among.
@@ -166,7 +173,7 @@
 // covariance of the three parameters there.
 func (f *Fit) power(x, y, w []float64) {
 	best, at := math.Inf(1), 1.0
-	var a, b float64
+	var b float64
 	raised := make([]float64, len(x))
 	for p := float64(leastExponent); p <= mostExponent+1e-9; p += exponentStep {
 		for i := range x {
@@ -179,11 +186,10 @@
 			chi += w[i] * r * r
 		}
 		if chi < best {
-			best, at, a, b = chi, p, pa, pb
+			best, at, b = chi, p, pb
 		}
 	}
 	f.Exponent, f.ExponentError = math.Round(at*100)/100, math.Inf(1)
-	_ = a
 	if len(x) <= 3 {
 		return
 	}
@@ -210,7 +216,7 @@
 // shape judges by the criterion at worstMost.
 func (f *Fit) shape(x, y, w []float64) Shape {
 	grown := math.Abs(f.Slope) * (x[len(x)-1] - x[0])
-	if mean := math.Abs(stat.Mean(y, w)); grown <= noise*mean || grown <= errorsMost*f.SlopeError*(x[len(x)-1]-x[0]) && f.Worst <= worstMost {
+	if grown <= 1e-9*math.Abs(stat.Mean(y, w)) || grown <= errorsMost*f.SlopeError*(x[len(x)-1]-x[0]) && f.Worst <= worstMost {
 		return Flat
 	}
 	off := math.Abs(f.Exponent - 1)
