lab scale routes: the longest answer while reloads go on, and where the powers come from

By reading, config.Text.Line walks all tables for each route, and engine.Plan.adopt looks for each route among all old ones, in the loop that decides for requests; so a request asks meanwhile and its longest answer is a series.

--- a/cmd/lab/scale_process.go
+++ b/cmd/lab/scale_process.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -64,8 +65,9 @@
 
 // gatewayProcess is the program with a file, in a process of its own.
 type gatewayProcess struct {
-	p    *nemesis.Process
-	file string
+	p      *nemesis.Process
+	file   string
+	listen string // where clients connect
 
 	mu      sync.Mutex
 	log     bytes.Buffer
@@ -86,7 +88,9 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gatewayProcess{file: filepath.Join(dir, "box.toml"), changed: make(chan struct{})}
+	_, listen, _ := strings.Cut(text, "[[listener]]\naddress = \"")
+	listen, _, _ = strings.Cut(listen, "\"")
+	g := &gatewayProcess{file: filepath.Join(dir, "box.toml"), listen: listen, changed: make(chan struct{})}
 	if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -214,6 +218,41 @@
 	return cpu / time.Duration(max(n, 1)), err
 }
 
+// probeEvery is how often a probe asks, beside an answer's time: CPU of some 1% of a core.
+const probeEvery = 20 * time.Millisecond
+
+// probe asks for a path whose pool has no live host, one request at a time, until stop is called: it
+// then gives the longest time to an answer, whatever that was. The gateway's loop answers it.
+func (g *gatewayProcess) probe(ctx context.Context) (stop func() time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	worst := make(chan time.Duration, 1)
+	go func() {
+		client := http.Client{Timeout: startWithin}
+		var most time.Duration
+		for ctx.Err() == nil {
+			began := time.Now()
+			// Asked to its end, also where that lies behind the reload's.
+			if q, err := http.NewRequest("GET", "http://"+g.listen+"/part-0/probe", nil); err == nil {
+				q.Host = "shop-0.example.org"
+				if resp, err := client.Do(q); err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			}
+			most = max(most, time.Since(began))
+			select {
+			case <-ctx.Done():
+			case <-time.After(probeEvery):
+			}
+		}
+		worst <- most
+	}()
+	return func() time.Duration {
+		cancel()
+		return <-worst
+	}
+}
+
 // resting is the CPU that the process uses in a second at rest, once what the start left has ended.
 func (g *gatewayProcess) resting(e *scaleEnv) (time.Duration, error) {
 	settle, wait := time.Second, 3*time.Second
@@ -322,10 +361,13 @@
 		return nil
 	}
 	done := 0
+	stop := g.probe(ctx)
 	d, err := g.reloadCost(ctx, e, &done)
+	longest := stop()
 	if err != nil {
 		return err
 	}
+	c.add(size, "longest answer during reloads", "ms", 1, float64(longest.Microseconds())/1000)
 	c.cpu(size, "a reload", d, done)
 	if _, most, err = g.memory(); err != nil {
 		return err
@@ -342,7 +384,7 @@
 
 func scaleRoutes(ctx context.Context, e *scaleEnv, sizes []int) (*scale.Report, error) {
 	c := &collected{by: "route", asked: askedRoutes}
-	r := &scale.Report{Notes: []string{memoryNote}}
+	r := &scale.Report{Notes: []string{memoryNote, "the longest answer is of one request at a time to a pool without a live host, while reloads go on"}}
 	pools := manyPools
 	if e.Small {
 		pools = 10
@@ -363,6 +405,20 @@
 		c.add(n, "a look-up", "ns", 1, ns)
 	}
 	r.Series = c.list
+	for _, s := range r.Series {
+		f, err := s.Fit()
+		if err != nil || f.Shape != scale.Power || f.Exponent < 1.5 {
+			continue
+		}
+		where := map[string]string{
+			"start":                         "internal/config/lines.go: Text.Line, which walks all tables, called for each route by checker.routes",
+			"a reload":                      "Text.Line as at the start; and internal/engine/plan.go: Plan.adopt, which looks for each route among all old ones, in the engine's loop",
+			"longest answer during reloads": "internal/engine/plan.go: Plan.adopt, in the engine's loop: nothing is decided meanwhile",
+		}[s.Name]
+		last := s.Points[len(s.Points)-1]
+		r.Breaks = append(r.Breaks, scale.Break{By: "route", Size: last.Size, Where: where,
+			What: fmt.Sprintf("%s grows by the power %.1f: %.0f %s", s.Name, f.Exponent, last.Value, s.Unit)})
+	}
 	return r, nil
 }
 
