lab scale's fit: tests of its weights and of what the measure can't tell apart

Two guards of the fit had no test that fails without them: the weights by relative error, and the resolution's part in the slope's error. Both have one now.

--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -120,3 +120,23 @@
 		}
 	}
 }
+
+// Points that the measure can't tell apart give a slope that may be as large as that allows, and no
+// line is claimed.
+func TestResolution(t *testing.T) {
+	s := planted(sizes, 0, 1, func(float64) float64 { return 0 })
+	s.Resolution, s.Asked = 10, 1e6
+	f := fit(t, s)
+	if f.Shape != Flat || f.SlopeError < 10/sizes[len(sizes)-1]/10 || f.AtError(1e6) < 10 {
+		t.Errorf("%+v, %v at 1e6", f, f.AtError(1e6))
+	}
+}
+
+// An error of the largest size, as large as the others' by its share, does not decide alone.
+func TestWeights(t *testing.T) {
+	s := planted(sizes, 0, 1, func(n float64) float64 { return 20 + 0.003*n })
+	s.Points[len(s.Points)-1].Value *= 1.1
+	if f := fit(t, s); f.Shape != Line || !near(f.Intercept, 20, 0.05) || !near(f.Slope, 0.003, 0.06) {
+		t.Errorf("%+v", f)
+	}
+}
