lab scale: the fleet's rate of changes is a part of another name than a configuration's

Two parts were called changes, which ends every command of lab as it starts: registerScale says so by a panic. The fleet's is fleet-changes now; its test goes by that name, and nothing else changed.

--- a/cmd/lab/scale_fleet.go
+++ b/cmd/lab/scale_fleet.go
@@ -65,7 +65,7 @@
 		Run:   joinsPart,
 	})
 	registerScale(&scalePart{
-		Name: "changes", By: "change a second", Sizes: []int{1, 3, 10, 30, 100}, Small: []int{4, 16}, Takes: "1 min",
+		Name: "fleet-changes", By: "change a second", Sizes: []int{1, 3, 10, 30, 100}, Small: []int{4, 16}, Takes: "1 min",
 		About: "24 hollow gateways, by the rate of operators' words written in the record",
 		Run:   changesPart,
 	})
--- a/cmd/lab/scale_fleet_test.go
+++ b/cmd/lab/scale_fleet_test.go
@@ -63,7 +63,7 @@
 				}
 			}
 		},
-		"changes": func(t *testing.T, r *scale.Report, sizes []int) {
+		"fleet-changes": func(t *testing.T, r *scale.Report, sizes []int) {
 			for _, n := range sizes {
 				if x := value(t, r, "leader", "fsyncs/s", float64(n)); x <= 0 {
 					t.Errorf("%d changes a second: %v fsyncs", n, x)
