--- a/cmd/lab/scale_fleet.go
+++ b/cmd/lab/scale_fleet.go
@@ -32,7 +32,11 @@
 	fleetKeepers = 5
 	fleetAlone   = 8 // the keepers, and three members: each alone in its process
 	fleetPacks   = 8 // processes of the others
-	wholeMost    = 90 * time.Second
+	// Of a fleet with relays: as many as are set aside, and more processes of gateways, of which there
+	// are more.
+	fleetRelays     = 16
+	fleetRelayPacks = 48
+	wholeMost       = 90 * time.Second
 )
 
 func init() {
@@ -40,7 +44,7 @@
 		Name: "mesh", By: "gateway", Sizes: []int{8, 12, 24, 48, 80}, Small: []int{4, 6}, Takes: "1 min",
 		About: "a fleet at rest, hollow gateways: bytes and packets by the kernel, CPU, memory, connections, by role",
 		Run: func(ctx context.Context, e *scaleEnv, sizes []int) (*scale.Report, error) {
-			return atRest(ctx, e, sizes, "")
+			return atRest(ctx, e, sizes, "", 0)
 		},
 	})
 	registerScale(&scalePart{
@@ -51,7 +55,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return atRest(ctx, e, sizes, bin)
+			return atRest(ctx, e, sizes, bin, 1)
 		},
 	})
 	registerScale(&scalePart{
@@ -110,8 +114,12 @@
 	if o.Keepers = fleetKeepers; o.Gateways < fleetAlone {
 		o.Keepers = min(3, o.Gateways)
 	}
-	o.Alone = fleetAlone
-	o.Packed = max(1, (o.Gateways-o.Alone+fleetPacks-1)/fleetPacks)
+	o.Alone = o.Relays + fleetAlone
+	packs := fleetPacks
+	if o.Relays > 0 {
+		packs = fleetRelayPacks
+	}
+	o.Packed = max(1, (o.Gateways-fleetAlone+packs-1)/packs)
 	f, err := hollow.New(o)
 	if err != nil {
 		d.Close()
@@ -272,7 +280,7 @@
 		s.add(role, "bytes/s carried, out", 5, size, of(func(p *hollow.Process) float64 { return c.of[p].PerSecond(c.of[p].BytesOut) }))
 		s.add(role, "CPU ms/s", 0.5, size, of(func(p *hollow.Process) float64 { return c.of[p].CPU }))
 		s.add(role, "MB resident", 1, size, of(func(p *hollow.Process) float64 { return float64(c.last.Of[p].Resident) / mb }))
-		if f.Bin == "" {
+		if !list[0].Real() {
 			s.add(role, "MB heap and stacks", 0.5, size, of(func(p *hollow.Process) float64 { return float64(c.last.Of[p].Heap) / mb }))
 			s.add(role, "goroutines", 1, size, of(func(p *hollow.Process) float64 { return float64(c.last.Of[p].Goroutines) }))
 		}
@@ -290,13 +298,13 @@
 }
 
 // atRest measures fleets at rest by their size, hollow or of the program.
-func atRest(ctx context.Context, e *scaleEnv, sizes []int, bin string) (*scale.Report, error) {
+func atRest(ctx context.Context, e *scaleEnv, sizes []int, bin string, real int) (*scale.Report, error) {
 	s := &seriesBy{by: "gateway", asked: gatewaysAsked}
 	r := &scale.Report{}
 	settle, count := fleetSpan(e)
 	for _, n := range sizes {
 		err := func() error {
-			f, end, err := fleetOf(ctx, e, hollow.Options{Bin: bin, Gateways: n, Pools: 1})
+			f, end, err := fleetOf(ctx, e, hollow.Options{Bin: bin, Real: real * n, Gateways: n, Pools: 1})
 			if err != nil {
 				return err
 			}
--- a/internal/scale/hollow/fleet.go
+++ b/internal/scale/hollow/fleet.go
@@ -24,10 +24,12 @@
 type Options struct {
 	Dir       string   // for files and disks
 	Host      []string // the command of a hollow host: Serve on its standard input and output
-	Bin       string   // the program; where set, all gateways are processes of it
+	Bin       string   // the program
+	Real      int      // so many of relays and the first gateways are processes of it
 	Gateways  int
-	Keepers   int // that hold the record at first
-	Alone     int // so many of the first gateways are alone in their process, so that it is known what one takes
+	Relays    int // that carry for the gateways, beside them; 0: these are connected with each other
+	Keepers   int // that hold the record at first: of the relays, where there are some
+	Alone     int // so many of relays and the first gateways are alone in their process, so that it is known what one takes
 	Packed    int // gateways in each other process
 	Pools     int // of each gateway; each pool's list of hosts is a duty
 	Discovery string
@@ -67,10 +69,7 @@
 
 // New lays out a fleet and starts nothing.
 func New(o Options) (*Fleet, error) {
-	if o.Bin != "" {
-		o.Alone = o.Gateways
-	}
-	o.Alone = min(max(o.Alone, o.Keepers), o.Gateways)
+	o.Alone = min(max(o.Alone, o.Keepers, o.Relays, o.Real), o.Relays+o.Gateways)
 	l, err := newLayout(o)
 	if err != nil {
 		return nil, err
@@ -79,10 +78,10 @@
 	if f.log, err = os.Create(filepath.Join(o.Dir, "log")); err != nil {
 		return nil, err
 	}
-	for i := 0; i < o.Gateways; {
+	for i := 0; i < len(l.names); {
 		n := 1
 		if i >= o.Alone {
-			n = min(max(1, o.Packed), o.Gateways-i)
+			n = min(max(1, o.Packed), len(l.names)-i)
 		}
 		f.Processes = append(f.Processes, &Process{Names: l.names[i : i+n], f: f, first: i})
 		i += n
@@ -116,7 +115,7 @@
 // Start starts the process; it ends with us.
 func (p *Process) Start(ctx context.Context) error {
 	f := p.f
-	if f.Bin != "" {
+	if p.Real() {
 		p.cmd = exec.CommandContext(ctx, f.Bin, "--appliance", f.file(p.first))
 	} else {
 		p.cmd = exec.CommandContext(ctx, f.Host[0], f.Host[1:]...)
@@ -131,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	if f.Bin != "" {
+	if p.Real() {
 		p.cmd.Stdout, p.cmd.Stderr = f.log, w
 	} else {
 		p.cmd.Stdout, p.cmd.Stderr = w, f.log
@@ -152,7 +151,7 @@
 		in := bufio.NewScanner(r)
 		in.Buffer(nil, 64<<20)
 		for in.Scan() {
-			if f.Bin != "" {
+			if p.Real() {
 				f.log.Write(append(in.Bytes(), '\n'))
 				p.heardLine(in.Text())
 				continue
@@ -172,7 +171,7 @@
 			f.heard(Event{m.Event, m.By, time.Unix(0, m.At)})
 		}
 	}()
-	if f.Bin != "" {
+	if p.Real() {
 		return nil
 	}
 	var files []string
@@ -286,12 +285,15 @@
 	}
 }
 
+// Real says whether it is a process of the program.
+func (p *Process) Real() bool { return p.first < p.f.Options.Real }
+
 // Runs says whether the process was started and not killed.
 func (p *Process) Runs() bool { return p.ended != nil }
 
 // Status is how each gateway of the process stands; with counts what it has counted as well.
 func (p *Process) Status(counts bool) (map[string]*Status, error) {
-	if p.f.Bin == "" {
+	if !p.Real() {
 		r, err := p.ask(&order{Report: true, Status: true, Counts: counts})
 		if err != nil {
 			return nil, err
@@ -312,7 +314,7 @@
 
 // Report is a hollow host's own account; of a process of the program nil.
 func (p *Process) Report() (*Report, error) {
-	if p.f.Bin != "" {
+	if p.Real() {
 		return nil, nil
 	}
 	r, err := p.ask(&order{Report: true})
@@ -368,6 +370,15 @@
 			n += len(p.Names)
 		}
 	}
+	if f.Relays > 0 {
+		// A gateway of relays knows no list of the others; the record has who has a session.
+		lead := f.Leader()
+		if lead == nil {
+			return false
+		}
+		all, err := lead.Status(false)
+		return err == nil && all[lead.Names[0]].whole(n, f.Pools)
+	}
 	for _, p := range f.Processes {
 		if !p.Runs() {
 			continue
@@ -377,24 +388,37 @@
 			return false
 		}
 		for _, s := range all {
-			if s.Session == 0 || s.Leader == "" || s.Sessions != n || len(s.Duties) <= f.Pools {
+			if !s.whole(n, f.Pools) {
 				return false
 			}
-			for _, d := range s.Duties {
-				if d.Owner == "" {
-					return false
-				}
-			}
 		}
 	}
 	return true
 }
 
-// poll is how often it is looked whether a fleet is whole.
-const poll = 100 * time.Millisecond
+// whole says whether a gateway has a session, knows n of them, and knows an owner of each duty.
+func (s *Status) whole(n, pools int) bool {
+	if s.Session == 0 || s.Leader == "" || s.Sessions != n || len(s.Duties) <= pools {
+		return false
+	}
+	for _, d := range s.Duties {
+		if d.Owner == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// poll is how often it is looked whether a fleet is whole; of a large one so much less often that
+// looking is not what it is busy with.
+const (
+	poll     = 100 * time.Millisecond
+	pollEach = 200 * time.Microsecond
+)
 
 // UntilWhole waits until the fleet is whole.
 func (f *Fleet) UntilWhole(ctx context.Context, most time.Duration) error {
+	every := max(poll, time.Duration(len(f.names))*pollEach)
 	for end := time.Now().Add(most); !f.Whole(); {
 		if time.Now().After(end) {
 			return fmt.Errorf("the fleet is not whole after %v", most)
@@ -402,7 +426,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(poll):
+		case <-time.After(every):
 		}
 	}
 	return nil
--- a/internal/scale/hollow/host.go
+++ b/internal/scale/hollow/host.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"lynxspool"
+	"lynxspool/internal/admin"
 	"lynxspool/internal/config"
 	"lynxspool/internal/discovery"
 	"lynxspool/internal/fleet"
@@ -81,14 +82,36 @@
 		Name  string `json:"name"`
 		Owner string `json:"owner"`
 	} `json:"duties"`
+	// Relay is where the gateway has its stream, in a fleet with relays; Joined is since when, in
+	// nanoseconds since 1970, as the host has worked it out.
+	Relay *struct {
+		Name    string `json:"name"`
+		SinceMS int64  `json:"since_ms"`
+		First   string `json:"first"`
+		Moves   uint64 `json:"moves"`
+	} `json:"relay,omitempty"`
+	Joined int64 `json:"joined,omitempty"`
+	// Streams are those that a relay holds.
+	Streams *struct {
+		Streams int `json:"streams"`
+		Routes  int `json:"routes"`
+	} `json:"streams,omitempty"`
 	Counts map[string]float64 `json:"counts,omitempty"` // dunemoor_fleet_*
 }
 
+// join works out since when the gateway has its stream.
+func (s *Status) join() {
+	if s.Relay != nil && s.Relay.Name != "" {
+		s.Joined = time.Now().UnixNano() - s.Relay.SinceMS*int64(time.Millisecond)
+	}
+}
+
 // gateway is a hollow gateway.
 type gateway struct {
 	name   string
 	part   *fleet.Fleet
 	pool   string
+	calls  map[string]admin.Call
 	cancel context.CancelFunc
 	all    sync.WaitGroup
 }
@@ -106,8 +129,8 @@
 // told are the lines of the log that are passed on as events, as the program words them.
 var told = []string{"session begun", "session lapsed", "leading the record", "fleet formed", "duty taken up"}
 
-// Event of a word that has taken effect at a gateway.
-const wordEvent = "word"
+// WordEvent is of a word that has taken effect at a gateway.
+const WordEvent = "word"
 
 // Serve is a host: it does as it is told until in ends, and ends all that it has started. It takes
 // the program's log for its own.
@@ -184,7 +207,10 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &gateway{name: a.Name, part: part, pool: a.Pools[0].Name, cancel: cancel}
+	g := &gateway{name: a.Name, part: part, calls: part.Calls(), cancel: cancel}
+	if len(a.Pools) > 0 { // a relay has none
+		g.pool = a.Pools[0].Name
+	}
 	h.mu.Lock()
 	was := h.all[g.name]
 	h.all[g.name] = g
@@ -205,7 +231,7 @@
 			n += len(list)
 		}
 		if n > words {
-			h.say(&reply{Event: wordEvent, By: g.name, At: time.Now().UnixNano()})
+			h.say(&reply{Event: WordEvent, By: g.name, At: time.Now().UnixNano()})
 		}
 		words = n
 	})
@@ -247,7 +273,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), wordMost)
 	defer cancel()
-	if code, text, _ := g.part.Calls()[path].Do(ctx, url.Values{"pool": {g.pool}, "host": {s.Host}}); code/100 != 2 {
+	if code, text, _ := g.calls[path].Do(ctx, url.Values{"pool": {g.pool}, "host": {s.Host}}); code/100 != 2 {
 		return fmt.Errorf("%s: %d %s", s.By, code, text)
 	}
 	return nil
@@ -300,14 +326,15 @@
 	r.Gateways = map[string]*Status{}
 	for _, g := range all {
 		s := &Status{}
-		calls := g.part.Calls()
-		if _, text, _ := calls[fleet.PathFleet].Do(context.Background(), nil); status {
+		if status {
+			_, text, _ := g.calls[fleet.PathFleet].Do(context.Background(), nil)
 			if err := json.Unmarshal([]byte(text), s); err != nil {
 				s.Role = err.Error()
 			}
+			s.join()
 		}
 		if counts {
-			_, text, _ := calls[fleet.PathMetrics].Do(context.Background(), nil)
+			_, text, _ := g.calls[fleet.PathMetrics].Do(context.Background(), nil)
 			s.Counts = readCounts(text)
 		}
 		r.Gateways[g.name] = s
