--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -51,6 +51,9 @@
 	renewsMost = 4096
 )
 
+// All is the name of all others, in a fleet with relays.
+const All = "*"
+
 // Config is what a member is told.
 type Config struct {
 	Fleet, Name, Zone, Machine, Address string
@@ -62,6 +65,10 @@
 	Disk   disk.Identity
 	Stored map[quorum.Group]quorum.Stored
 	Words  Words // as they were last known here
+
+	// Relayed says that the fleet has relays, which are First and, at a relay, Peers: what is sent to
+	// anybody else goes by name, and what is for all in one Send to All.
+	Relayed bool
 }
 
 // Send is a frame to another gateway.
@@ -110,6 +117,10 @@
 	// Fenced counts the words of owners of before that were not taken.
 	Fenced int
 	Lines  []Line
+	// Asked says that a renewal went out, or an opening, Answered that a leader's word came.
+	Asked, Answered bool
+	// Moved says that what is known by version is to be asked for again: see Member.Moved.
+	Moved bool
 }
 
 // Words are the operators' words as a gateway knows them; Mod grows with each change.
--- a/internal/cluster/member/session.go
+++ b/internal/cluster/member/session.go
@@ -427,3 +427,9 @@
 	m.fences[n.Duty] = fence{n.Token, n.Seq}
 	m.out.News = append(m.out.News, *n)
 }
+
+// Moved tells that the way to the others is new: what went by the one of before may be lost.
+func (m *Member) Moved(now time.Duration) {
+	m.now = now
+	m.out.Moved = true
+}
