A fleet's file names relays, and what can't be meant is a line

A full mesh of 4,700 gateways is 9,400 connections at each; with relays a gateway has one stream to one of them. The file had no place for relays, for a gateway's own zone and region, nor for a machine that serves no requests. Now [[fleet.relay]] (name, address, zone, region) stands in place of peers; fleet.zone and fleet.region are the gateway's own, a relay's are those of its entry.

A relay's file may leave out listeners, classes, pools and routes together, not some of them. A file without relays is read as before. deploy/fleet-relays.toml is the example, checked by the test.

--- a/internal/config/appliance.go
+++ b/internal/config/appliance.go
@@ -33,6 +33,9 @@
 	Fleet     *Fleet       // nil: it stands alone
 }
 
+// Serves says whether requests are served by it: a relay of a fleet may serve none.
+func (a *Appliance) Serves() bool { return len(a.Listeners) > 0 }
+
 // Limits are what the process may use.
 type Limits struct {
 	Cores    float64
@@ -231,7 +234,18 @@
 	DataDir string `toml:"data_dir"`
 	KeyFile string `toml:"key_file"`
 	First   []string
+	Zone    string
+	Region  string
 	Peer    []struct{ Name, Address, Zone, Machine string }
+	Relay   []relayFile
+}
+
+type relayFile struct{ Name, Address, Zone, Region string }
+
+// bareRelay says whether a file is of a relay that serves nobody: it has nothing for requests.
+func (f *applianceFile) bareRelay() bool {
+	return f.Fleet != nil && len(f.Listener)+len(f.Class)+len(f.Pool)+len(f.Route) == 0 &&
+		slices.ContainsFunc(f.Fleet.Relay, func(r relayFile) bool { return r.Name == f.Name })
 }
 
 // headersFile are the rules for the headers one way.
@@ -356,10 +370,14 @@
 	c.within("limits", 0, "headers", float64(a.Limits.Headers), 8, 1000)
 	c.within("limits", 0, "cores", a.Limits.Cores, 0, 1024)
 	c.fairness(a, &f)
-	c.listeners(a, &f)
-	c.classes(a, &f)
-	c.pools(a, &f)
-	c.routes(a, &f)
+	if f.bareRelay() {
+		a.Table, _ = route.Compile(nil, nil)
+	} else {
+		c.listeners(a, &f)
+		c.classes(a, &f)
+		c.pools(a, &f)
+		c.routes(a, &f)
+	}
 	c.fleet(a, f.Fleet)
 	if len(c.wrong) > 0 {
 		return nil, c.wrong
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -50,6 +50,68 @@
 	}
 }
 
+const relaysExample = "../../deploy/fleet-relays.toml"
+
+// The example with relays is right, a relay's own file needs nothing for requests, and each
+// mistake is a line with file, line and field.
+func TestRelayMistakes(t *testing.T) {
+	b, err := os.ReadFile(relaysExample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(b)
+	a, wrong := ParseAppliance("f", good)
+	if len(wrong) > 0 || len(a.Fleet.Relays) != 3 || a.Fleet.Zone != "hall-a" || a.Fleet.Region != "west" || a.Fleet.IsRelay(a.Name) || !a.Serves() {
+		t.Fatalf("%+v, %v", a, wrong)
+	}
+	listen := "listen = \"127.0.0.1:7403\"\ndata_dir ="
+	cut := func(text, from, to string) string {
+		head, rest, _ := strings.Cut(text, from)
+		_, tail, _ := strings.Cut(rest, to)
+		return head + to + tail
+	}
+	bare := strings.NewReplacer(`"depot-1"`, `"relay-3"`, `zone = "hall-a"                 `, `#`, "region = \"west\"\n\n# A relay", "#", "data_dir =", listen).Replace(cut(good, "[[listener]]", "[fleet]"))
+	if r, wrong := ParseAppliance("f", bare); len(wrong) > 0 || !r.Fleet.IsRelay(r.Name) || r.Serves() || r.Fleet.Zone != "quay-a" || r.Fleet.Region != "east" {
+		t.Fatalf("%+v, %v in\n%s", r, wrong, bare)
+	}
+	for _, c := range []struct{ from, old, new, want string }{
+		{good, `zone = "hall-b"`, `rack = "hall-b"`, "fleet.relay.rack: there is no such setting"},
+		{good, `zone = "hall-a"  `, `role = "relay"`, "fleet.role: there is no such setting"},
+		{good, `"relay-3"]`, `"depot-1"]`, `fleet.first: "depot-1" is no relay`},
+		{good, `region = "west"`, `region = "north"`, `fleet.region: no relay is in region "north", they are in ["west" "east"]`},
+		{good, `region = "west"`, ``, `fleet.region: no relay is in region ""`},
+		{good, `zone = "hall-a"`, `zone = "hall a"`, `fleet.zone: "hall a" has ' ' in it`},
+		{good, `"hall-b"`, `"hall b"`, `fleet.relay.zone: "hall b" has ' ' in it`},
+		{good, `127.0.0.1:7403`, `127.0.0.1:7402`, `fleet.relay.address: "127.0.0.1:7402" is that of relay-2`},
+		{good, `address = "127.0.0.1:7402"`, ``, `fleet.relay.address: "" is no host:port`},
+		{good, `name = "relay-3"`, `name = "relay-2"`, `fleet.relay.name: "relay-2" is taken (line `},
+		{good, `name = "relay-2"`, ``, "fleet.relay.name: is missing"},
+		{good, "data_dir =", listen, "fleet.listen: is for relays"},
+		{good, "[[fleet.relay]]", "[[fleet.peer]]\nname = \"depot-2\"\naddress = \"127.0.0.1:7412\"\n[[fleet.relay]]", "fleet.peer: there are relays too"},
+		{bare, listen, "data_dir =", `fleet.listen: "" is no address`},
+		{bare, "[fleet]", "[[listener]]\naddress = \"127.0.0.1:8080\"\n[fleet]", "pool: there is none"},
+		{bare, "[fleet]", "[fleet]\nzone = \"hall-a\"", `fleet.zone: "hall-a", and as a relay it is in "quay-a" (line `},
+		{bare, `"relay-3"`, `"depot-4"`, "listener: there is none"},
+	} {
+		text := strings.Replace(c.from, c.old, c.new, 1)
+		_, wrong := ParseAppliance("f", text)
+		said := fmt.Sprint(wrong)
+		if text == c.from || len(wrong) == 0 || !strings.Contains(said, c.want) || !strings.HasPrefix(wrong[0].Error(), "f:") {
+			t.Errorf("%s for %s: %v, want %q", c.new, c.old, wrong, c.want)
+		}
+	}
+	peers, err := os.ReadFile(fleetExample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"zone", "region"} {
+		text := strings.Replace(string(peers), "[fleet]", "[fleet]\n"+key+" = \"hall-a\"", 1)
+		if _, wrong := ParseAppliance("f", text); !strings.Contains(fmt.Sprint(wrong), "fleet."+key+": is for fleets with [[fleet.relay]]") {
+			t.Errorf("%s among peers: %v", key, wrong)
+		}
+	}
+}
+
 // A key that others can read, or that is too short, is refused.
 func TestReadKey(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "key")
