Carrier: streams between a gateway and a relay, both ways on one connection

Connections of the carrier are for one direction and between gateways that name one another. With relays a gateway has one stream, a relay some hundred. A handshake of purpose 3 opens one; either side sends frames on it. A gateway's carrier needs no listener. Whoever is no relay refuses streams, and who answers at a relay's address under another name is refused.

A large body is not copied for each stream. A refusal is logged once for each address and cause, a relay that can't be had once until it can.

TestStreamSpoilt ends, hangs and garbles what a relay says at bytes of the handshake and the answer; TestStreamRefused has a wrong key, no relay, another relay and a stranger.

--- a/internal/cluster/peer/frame.go
+++ b/internal/cluster/peer/frame.go
@@ -29,10 +29,14 @@
 
 // AppendFrame appends a frame to dst.
 func AppendFrame(dst []byte, kind byte, body []byte) []byte {
+	return append(appendHead(dst, kind, body), body...)
+}
+
+// appendHead appends what stands before a frame's body.
+func appendHead(dst []byte, kind byte, body []byte) []byte {
 	dst = binary.LittleEndian.AppendUint32(dst, uint32(len(body)))
 	dst = append(dst, kind)
-	dst = binary.LittleEndian.AppendUint32(dst, crc32.Update(crc32.Checksum([]byte{kind}, table), table, body))
-	return append(dst, body...)
+	return binary.LittleEndian.AppendUint32(dst, crc32.Update(crc32.Checksum([]byte{kind}, table), table, body))
 }
 
 // ReadFrame reads a frame. One that is oversized or garbled is an error: what follows on the
--- a/internal/cluster/peer/handshake.go
+++ b/internal/cluster/peer/handshake.go
@@ -35,6 +35,7 @@
 
 	purposeFrames   = 1
 	purposeSnapshot = 2
+	purposeStream   = 3
 )
 
 // word is A's last: its hello or a refusal.
@@ -74,9 +75,10 @@
 	return b
 }
 
-// dial makes the handshake on a connection that we opened and returns the other's hello.
-func dial(c net.Conn, key []byte, purpose byte, hello func() member.Hello, judge func(*member.Hello) string) (*member.Hello, error) {
-	c.SetDeadline(time.Now().Add(handshakeTime))
+// dial makes the handshake on a connection that we opened, until within, and returns the other's
+// hello.
+func dial(c net.Conn, key []byte, purpose byte, within time.Time, hello func() member.Hello, judge func(*member.Hello) string) (*member.Hello, error) {
+	c.SetDeadline(within)
 	defer c.SetDeadline(time.Time{})
 	nonceD := nonce()
 	if _, err := c.Write(append(append([]byte(magic), version, purpose), nonceD...)); err != nil {
@@ -124,8 +126,9 @@
 	return w.Hello, nil
 }
 
-// accept makes the handshake on a connection that came in.
-func accept(c net.Conn, key []byte, hello func() member.Hello, judge func(*member.Hello) string) (purpose byte, _ *member.Hello, _ error) {
+// accept makes the handshake on a connection that came in. The purpose is known where it was read,
+// with an error too.
+func accept(c net.Conn, key []byte, hello func() member.Hello, judge func(purpose byte, h *member.Hello) string) (purpose byte, _ *member.Hello, _ error) {
 	c.SetDeadline(time.Now().Add(handshakeTime))
 	defer c.SetDeadline(time.Time{})
 	b := make([]byte, len(magic)+2+nonceBytes)
@@ -138,37 +141,37 @@
 	purpose = b[len(magic)+1]
 	nonceD, nonceA := b[len(magic)+2:], nonce()
 	if _, err := c.Write(append(append(append([]byte(magic), version), nonceA...), sign(key, 'A', nonceD, nonceA, nil)...)); err != nil {
-		return 0, nil, err
+		return purpose, nil, err
 	}
 	mac := make([]byte, macBytes)
 	if _, err := io.ReadFull(c, mac); err != nil {
-		return 0, nil, err
+		return purpose, nil, err
 	}
 	text, err := readShort(c, helloMost)
 	if err != nil {
-		return 0, nil, err
+		return purpose, nil, err
 	}
 	if !hmac.Equal(mac, sign(key, 'D', nonceD, nonceA, text)) {
-		return 0, nil, errKey
+		return purpose, nil, errKey
 	}
 	var h member.Hello
 	if err := json.Unmarshal(text, &h); err != nil {
-		return 0, nil, err
+		return purpose, nil, err
 	}
 	mine := hello()
 	w := word{Hello: &mine}
-	why := judge(&h)
+	why := judge(purpose, &h)
 	if why != "" {
 		w = word{Refused: why}
 	}
 	if text, err = json.Marshal(w); err != nil {
-		return 0, nil, err
+		return purpose, nil, err
 	}
 	if _, err := c.Write(append(sign(key, 'B', nonceD, nonceA, text), appendShort(nil, text)...)); err != nil {
-		return 0, nil, err
+		return purpose, nil, err
 	}
 	if why != "" {
-		return 0, nil, &refusal{false, why}
+		return purpose, nil, &refusal{false, why}
 	}
 	return purpose, &h, nil
 }
--- a/internal/cluster/peer/peer.go
+++ b/internal/cluster/peer/peer.go
@@ -1,5 +1,6 @@
 // Package peer carries frames between the gateways of a fleet: over TCP, one connection each way
-// between two, each for one direction only. A frame may be lost, never changed, and those that
+// between two, each for one direction only; and where a fleet has relays, between those, and
+// beside that a stream from each gateway to a relay, for both directions. A frame may be lost, never changed, and those that
 // arrive on one connection are in order. Queues are bounded: who is slow loses frames of its own.
 package peer
 
@@ -54,11 +55,28 @@
 	Peers map[string]string // addresses by name
 	Hello func() member.Hello
 	Judge func(*member.Hello) string // why a gateway is not talked with; "": it is
+
+	// Streams takes what comes by streams; nil: the fleet has no relays. JudgeStream is Judge for
+	// streams. Serve says that gateways are served, as a relay does.
+	Streams     Streams
+	JudgeStream func(*member.Hello) string
+	Serve       bool
+}
+
+// Linker is told, where a Handler is one, which gateways there are connections with: Linked, that
+// there is one to a gateway, anew, until Lost; Parted, that there is none from it any more, after
+// its Greet.
+type Linker interface {
+	Linked(to string)
+	Parted(from string)
 }
 
 // Counts are kept since the start.
 type Counts struct {
 	Sent, SentBytes, Received, Lost, Garbled, Refused, Connects, Snapshots atomic.Uint64
+	// Of streams: what came by them, those that came in, and those that were ended as too much
+	// waited for them.
+	ReceivedBytes, Streams, StreamsBehind atomic.Uint64
 }
 
 // Carrier is a gateway's end of all its connections.
@@ -76,6 +94,9 @@
 	mu    sync.Mutex
 	conns map[net.Conn]*caller // that came in
 	saved map[string]*part     // snapshots of which a part has come
+	said  map[string]string    // by relay: why there was no stream, so that each is logged once
+	// refused are the refusals of streams that were logged.
+	refused map[string]struct{}
 }
 
 // caller is the gateway behind a connection that came in for frames.
@@ -97,9 +118,10 @@
 	said  string // the last error, so that each is logged once
 }
 
-// New serves on ln, which is the Carrier's from now on.
+// New serves on ln, which is the Carrier's from now on; nil: nobody connects to this gateway.
 func New(cfg Config, ln net.Listener, to Handler) *Carrier {
-	c := &Carrier{cfg: cfg, to: to, made: time.Now(), peers: map[string]*link{}, ln: ln, conns: map[net.Conn]*caller{}, saved: map[string]*part{}}
+	c := &Carrier{cfg: cfg, to: to, made: time.Now(), peers: map[string]*link{}, ln: ln, conns: map[net.Conn]*caller{}, saved: map[string]*part{},
+		said: map[string]string{}, refused: map[string]struct{}{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for name, addr := range cfg.Peers {
 		c.peers[name] = &link{name: name, addr: addr, wake: make(chan struct{}, 1)}
@@ -112,13 +134,17 @@
 	for _, l := range c.peers {
 		c.all.Go(func() { c.keep(l) })
 	}
-	c.all.Go(c.accept)
+	if c.ln != nil {
+		c.all.Go(c.accept)
+	}
 }
 
 // Close ends all connections.
 func (c *Carrier) Close() {
 	c.cancel()
-	c.ln.Close()
+	if c.ln != nil {
+		c.ln.Close()
+	}
 	c.mu.Lock()
 	for conn := range c.conns {
 		conn.Close()
@@ -208,7 +234,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h, err := dial(conn, c.cfg.Key, purpose, c.cfg.Hello, c.cfg.Judge)
+	h, err := dial(conn, c.cfg.Key, purpose, time.Now().Add(handshakeTime), c.cfg.Hello, c.cfg.Judge)
 	if err == nil && h.Name != l.name {
 		err = &refusal{false, fmt.Sprintf("at %s is %s", l.addr, h.Name)}
 	}
@@ -232,6 +258,9 @@
 	l.mu.Lock()
 	l.conn = conn
 	l.mu.Unlock()
+	if to, ok := c.to.(Linker); ok {
+		to.Linked(l.name)
+	}
 	// The other says nothing on this connection: what can be read is its end.
 	ended := make(chan struct{})
 	go func() {
@@ -311,7 +340,13 @@
 
 // judge is the Config's, and one gateway to a name: while one of another disk talks with us under
 // it, a second is refused.
-func (c *Carrier) judge(h *member.Hello) string {
+func (c *Carrier) judge(purpose byte, h *member.Hello) string {
+	if purpose == purposeStream {
+		if !c.cfg.Serve {
+			return fmt.Sprintf("%s is no relay", c.cfg.Name)
+		}
+		return c.cfg.JudgeStream(h)
+	}
 	if why := c.cfg.Judge(h); why != "" {
 		return why
 	}
@@ -330,7 +365,10 @@
 	purpose, h, err := accept(conn, c.cfg.Key, c.cfg.Hello, c.judge)
 	if err != nil {
 		var r *refusal
-		if errors.As(err, &r) || errors.Is(err, errKey) {
+		switch known := errors.As(err, &r) || errors.Is(err, errKey); {
+		case known && purpose == purposeStream:
+			c.refusedStream(conn.RemoteAddr(), err)
+		case known:
 			c.Counts.Refused.Add(1)
 			slog.Warn("a connection to the fleet refused", "from", conn.RemoteAddr().String(), "why", err.Error())
 		}
@@ -340,6 +378,10 @@
 		c.takeSnapshot(conn, h)
 		return
 	}
+	if purpose == purposeStream {
+		c.takeStream(conn, h)
+		return
+	}
 	// One connection at a time from each: the newest, as the one before may be of a process that
 	// has ended.
 	who := &caller{name: h.Name, replica: h.Replica}
@@ -353,6 +395,9 @@
 	c.conns[conn] = who
 	c.mu.Unlock()
 	c.to.Greet(*h)
+	if to, ok := c.to.(Linker); ok {
+		defer to.Parted(h.Name)
+	}
 	in := bufio.NewReaderSize(conn, 64<<10)
 	for {
 		conn.SetReadDeadline(time.Now().Add(silentMost))
--- /dev/null
+++ b/internal/cluster/peer/stream_test.go
@@ -0,0 +1,317 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"lynxspool/internal/cluster/member"
+	"lynxspool/internal/cluster/relay"
+	"lynxspool/internal/testkit"
+)
+
+// side is a relay or a gateway as its carrier sees it. A relay answers a join, and echoes the rest.
+type side struct {
+	*Carrier
+	relay bool
+	deaf  bool // a relay that answers nothing
+
+	mu      sync.Mutex
+	streams []*Stream
+	got     []string
+	ends    []error
+}
+
+func (s *side) Greet(member.Hello)                  {}
+func (s *side) Receive(string, member.Kind, []byte) {}
+func (s *side) Lost(string)                         {}
+func (s *side) Snapshot(uint64, bool)               {}
+
+func (s *side) Frame(x *Stream, kind member.Kind, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, frame(x.Name, kind, len(body), string(body[:min(8, len(body))])))
+	switch {
+	case !s.relay || s.deaf:
+	case kind == relay.KindJoin:
+		s.streams = append(s.streams, x)
+		x.Send(relay.KindAnswer, []byte("taken"))
+	default:
+		x.Send(kind, body)
+	}
+}
+
+func (s *side) Ended(_ *Stream, why error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends = append(s.ends, why)
+}
+
+func (s *side) seen() (frames []string, ends []error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(frames, s.got...), append(ends, s.ends...)
+}
+
+// newSide makes a relay, which listens, or a gateway, which does not.
+func newSide(t *testing.T, name, key string, serve bool) (s *side, addr string) {
+	t.Helper()
+	s = &side{relay: serve}
+	hello := member.Hello{Fleet: "f", Format: member.Format, Name: name, Replica: uint64(len(name)) + uint64(name[len(name)-1])}
+	var ln net.Listener
+	if serve || name == "no relay" {
+		ln = testkit.Listen(t, "127.0.0.1:0", nil)
+		addr = ln.Addr().String()
+	}
+	s.Carrier = New(Config{
+		Name: name, Key: []byte(key), Hello: func() member.Hello { return hello }, Judge: func(*member.Hello) string { return "a stream is no link" },
+		Streams: s, Serve: serve, JudgeStream: func(h *member.Hello) string {
+			if h.Name == "stranger" {
+				return "it is a stranger"
+			}
+			return ""
+		},
+	}, ln, s)
+	t.Cleanup(s.Close)
+	s.Start()
+	return s, addr
+}
+
+// A stream carries frames both ways in their order, large ones too, and ends on both sides when one
+// of them ends it.
+func TestStream(t *testing.T) {
+	r, addr := newSide(t, "relay", "key", true)
+	g, _ := newSide(t, "g1", "key", false)
+	s := g.Dial("relay", addr, relay.KindJoin, []byte("join"))
+	testkit.Until(t, "the relay answers", func() bool { got, _ := g.seen(); return len(got) == 1 })
+	want := []string{frame("relay", relay.KindAnswer, 5, "taken")}
+	for i := range 200 {
+		body := fmt.Appendf(nil, "n%03d", i)
+		if i%50 == 49 {
+			body = append(body, make([]byte, 700_000)...)
+		}
+		s.Send(relay.KindRecord, body)
+		want = append(want, frame("relay", relay.KindRecord, len(body), string(body[:min(8, len(body))])))
+	}
+	testkit.Until(t, "all have come back", func() bool { got, _ := g.seen(); return len(got) == len(want) })
+	if got, _ := g.seen(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v", got)
+	}
+	if got, _ := r.seen(); got[0] != frame("g1", relay.KindJoin, 4, "join") {
+		t.Errorf("the relay got %s first", got[0])
+	}
+	s.Finish()
+	testkit.Until(t, "both know its end", func() bool { _, a := g.seen(); _, b := r.seen(); return len(a) == 1 && len(b) == 1 })
+}
+
+// spoilt passes a connection on, and does something at a byte of what the relay sends.
+func spoilt(t *testing.T, to string, at int64, what string) string {
+	ln := testkit.Listen(t, "127.0.0.1:0", nil)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			d, err := net.Dial("tcp", to)
+			if err != nil {
+				c.Close()
+				continue
+			}
+			go func() { io.Copy(d, c); d.Close() }()
+			go func() {
+				defer c.Close()
+				if _, err := io.CopyN(c, d, at); err != nil {
+					return
+				}
+				var b [1]byte
+				if _, err := io.ReadFull(d, b[:]); err != nil {
+					return
+				}
+				switch what {
+				case "end":
+					d.Close()
+					return
+				case "hang":
+					io.Copy(io.Discard, d)
+					return
+				}
+				b[0] ^= 0x20
+				c.Write(b[:])
+				io.Copy(c, d)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// A stream that ends, hangs or garbles at any byte of what its relay says first ends for the
+// gateway, once, and nothing is taken that the relay did not say.
+func TestStreamSpoilt(t *testing.T) {
+	_, addr := newSide(t, "relay", "key", true)
+	g, _ := newSide(t, "g1", "key", false)
+	whole := 0 // bytes until the answer has come
+	first := frame("relay", relay.KindAnswer, 5, "taken")
+	{
+		s := g.Dial("relay", addr, relay.KindJoin, []byte("join"))
+		testkit.Until(t, "the relay answers", func() bool { got, _ := g.seen(); return len(got) == 1 })
+		s.Close()
+		testkit.Until(t, "it ends", func() bool { _, ends := g.seen(); return len(ends) == 1 })
+		whole = len(magic) + 1 + nonceBytes + 2*macBytes + 2 + len(`{"hello":`) + frameHead + 5
+	}
+	for _, what := range []string{"end", "hang", "garble"} {
+		for at := 0; at < whole; at += 7 {
+			g, _ := newSide(t, "g1", "key", false)
+			g.Dial("relay", spoilt(t, addr, int64(at), what), relay.KindJoin, []byte("join"))
+			testkit.Until(t, fmt.Sprintf("%s at %d ends the stream", what, at), func() bool { _, ends := g.seen(); return len(ends) == 1 })
+			if got, _ := g.seen(); len(got) > 0 && got[0] != first {
+				t.Errorf("%s at %d: got %v", what, at, got)
+			}
+			g.Close()
+		}
+	}
+	// Behind the handshake: a frame with a byte that is wrong ends the stream and is not taken.
+	g, _ = newSide(t, "g2", "key", false)
+	hello := len(magic) + 1 + nonceBytes + 2*macBytes + 2
+	for at := hello; ; at++ { // the length of its hello is not known here
+		g, _ := newSide(t, "g2", "key", false)
+		g.Dial("relay", spoilt(t, addr, int64(at), "garble"), relay.KindJoin, []byte("join"))
+		testkit.Until(t, "the stream ends or is taken", func() bool { got, ends := g.seen(); return len(ends)+len(got) > 0 })
+		got, _ := g.seen()
+		garbled := g.Counts.Garbled.Load()
+		g.Close()
+		if len(got) > 0 && got[0] != first {
+			t.Fatalf("garbled at %d: got %v", at, got)
+		}
+		if len(got) > 0 { // the byte is behind all that is said
+			break
+		}
+		if at > 4096 || garbled > 1 {
+			t.Fatalf("at byte %d nothing was taken yet, %d garbled", at, garbled)
+		}
+	}
+}
+
+// A gateway that reads nothing is cut off once too much waits for it, and the relay's memory for it
+// stays bounded.
+func TestStreamBehind(t *testing.T) {
+	r, addr := newSide(t, "relay", "key", true)
+	stop := make(chan struct{})
+	hangs := testkit.Listen(t, "127.0.0.1:0", nil)
+	t.Cleanup(func() { hangs.Close() })
+	go func() { // takes what the relay answers to the join, and reads nothing more
+		c, err := hangs.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		d, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		defer d.Close()
+		go func() { io.Copy(d, c) }()
+		b := make([]byte, 4096)
+		for {
+			n, err := d.Read(b)
+			if err != nil {
+				return
+			}
+			c.Write(b[:n])
+			if bytes.Contains(b[:n], []byte("taken")) {
+				break
+			}
+		}
+		<-stop
+	}()
+	defer close(stop)
+	g, _ := newSide(t, "g1", "key", false)
+	g.Dial("relay", hangs.Addr().String(), relay.KindJoin, []byte("join"))
+	testkit.Until(t, "the relay has the stream", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.streams) == 1 })
+	s := r.streams[0]
+	body := make([]byte, 32<<10)
+	testkit.Until(t, "more waits than may", func() bool {
+		s.Send(relay.KindRecord, body)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.bytes < relay.QueueMost {
+			return s.why != nil
+		}
+		s.began = s.began.Add(-stuckMost) // it has hung for so long
+		return true
+	})
+	s.Send(relay.KindRecord, body)
+	testkit.Until(t, "it is cut", func() bool { _, ends := r.seen(); return len(ends) == 1 })
+	if _, ends := r.seen(); !errors.Is(ends[0], ErrBehind) || r.Counts.StreamsBehind.Load() != 1 {
+		t.Errorf("it ended as %v, %d were behind", ends[0], r.Counts.StreamsBehind.Load())
+	}
+}
+
+// Who has another key, is no relay, or not the one that was dialled is refused, and a gateway that
+// the relay does not want; each is said once, however often it comes.
+func TestStreamRefused(t *testing.T) {
+	var logged lines
+	was := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&logged, nil)))
+	defer slog.SetDefault(was)
+	_, addr := newSide(t, "relay", "key", true)
+	_, other := newSide(t, "no relay", "key", false)
+	for _, c := range []struct{ name, key, dials, at, want, said string }{
+		{"g1", "other", "relay", addr, errKey.Error(), "it does not know the fleet's key"},
+		{"g2", "key", "no relay", other, "refused by it: no relay is no relay", "no stream to a relay of the fleet"},
+		{"g3", "key", "relay2", addr, "is relay", "no stream to a relay of the fleet"},
+		{"stranger", "key", "relay", addr, "refused by it: it is a stranger", "why=\"refused: it is a stranger\""},
+	} {
+		g, _ := newSide(t, c.name, c.key, false)
+		for i := range 3 {
+			g.Dial(c.dials, c.at, relay.KindJoin, []byte("join"))
+			testkit.Until(t, c.name+" is refused", func() bool { _, ends := g.seen(); return len(ends) == i+1 })
+		}
+		if got, ends := g.seen(); len(got) > 0 || !strings.Contains(ends[0].Error(), c.want) {
+			t.Errorf("%s: got %v, %v", c.name, got, ends)
+		}
+		testkit.Until(t, c.said+" is said of "+c.name, func() bool { return logged.count(c.said) > 0 })
+		g.Close()
+	}
+	// At the first it is the gateway that hangs up, and at the third: one line of each. At the others
+	// both have something to say.
+	testkit.Until(t, "all is said", func() bool { return logged.count("") >= 6 })
+	if n := logged.count(""); n > 6 {
+		t.Errorf("%d lines were logged\n%s", n, logged.text())
+	}
+}
+
+// lines is what was logged.
+type lines struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(b)
+}
+
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
+// count is how many lines have a text in them.
+func (l *lines) count(text string) (n int) {
+	for _, line := range strings.Split(strings.TrimSpace(l.text()), "\n") {
+		if line != "" && strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
