--- a/internal/cluster/peer/stream_test.go
+++ b/internal/cluster/peer/stream_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"lynxspool/internal/cluster/member"
 	"lynxspool/internal/cluster/relay"
@@ -113,7 +114,8 @@
 // spoilt passes a connection on, and does something at a byte of what the relay sends.
 func spoilt(t *testing.T, to string, at int64, what string) string {
 	ln := testkit.Listen(t, "127.0.0.1:0", nil)
-	t.Cleanup(func() { ln.Close() })
+	over := make(chan struct{})
+	t.Cleanup(func() { ln.Close(); close(over) })
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -140,7 +142,7 @@
 					d.Close()
 					return
 				case "hang":
-					io.Copy(io.Discard, d)
+					<-over // it does not end
 					return
 				}
 				b[0] ^= 0x20
@@ -199,6 +201,21 @@
 	}
 }
 
+// A gateway that says nothing behind the handshake is not waited for longer than for that.
+func TestStreamSilent(t *testing.T) {
+	r, addr := newSide(t, "relay", "key", true)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	hello := member.Hello{Fleet: "f", Format: member.Format, Name: "g1", Replica: 1}
+	if _, err := dial(c, []byte("key"), purposeStream, time.Now().Add(handshakeTime), func() member.Hello { return hello }, r.judgeRelay); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Until(t, "the relay ends it", func() bool { _, ends := r.seen(); return len(ends) == 1 })
+}
+
 // A gateway that reads nothing is cut off once too much waits for it, and the relay's memory for it
 // stays bounded.
 func TestStreamBehind(t *testing.T) {
