--- a/cmd/lab/fleet.go
+++ b/cmd/lab/fleet.go
@@ -38,7 +38,7 @@
 	var seeds, gateways, keepers, duties int
 	var d time.Duration
 	var story string
-	stories := []string{"mixed", "flicker", "calm", "put-back", "words", "late"}
+	stories := []string{"mixed", "flicker", "calm", "put-back", "words", "late", "relays"}
 	cmd := &cobra.Command{
 		Use: "sim", Args: cobra.NoArgs,
 		Short: "Play seeds in virtual time, with whatever faults each draws; the first that breaks an invariant ends it",
@@ -71,6 +71,8 @@
 							err = sim.Words(seed)
 						case "late":
 							err = sim.Late(seed)
+						case "relays":
+							err = sim.Relays(seed)
 						default:
 							var w *sim.World
 							if w, err = sim.Play(o, d); err == nil {
--- a/internal/cluster/guard/guard.go
+++ b/internal/cluster/guard/guard.go
@@ -26,6 +26,14 @@
 	LeaderSeen  Name = "leader-seen"   // what a leader had is not held against its disk
 	LateWord    Name = "late-word"     // a word on a disk counts only if it comes before a leader's messages
 	LateCommand Name = "late-command"  // a word that comes behind a later one of the same gateway counts
+	// Of relays.
+	RelayEpoch   Name = "relay-epoch"   // what comes by a stream of before counts, and what has come already
+	RelayBoth    Name = "relay-both"    // a gateway keeps the stream to the relay that it has left, and that keeps it
+	RelayHeld    Name = "relay-held"    // what was held while a process stood still counts
+	RelayCarries Name = "relay-carries" // a relay that is there and carries nothing on is stayed with
+	RelayBatch   Name = "relay-batch"   // a record that is refused takes those behind it along
+	RelayFanout  Name = "relay-fanout"  // who has moved does not ask for what it may have missed
+	RelayLeader  Name = "relay-leader"  // a relay answers renewals itself
 	// Of shelves; found by their own histories.
 	ShelfFence  Name = "shelf-fence"  // whoever had a request before may send or end it
 	ShelfGroup  Name = "shelf-group"  // a request that may have run goes into another group
@@ -47,6 +55,9 @@
 // All is every guard that the simulation finds.
 var All = []Name{PreVote, CheckQuorum, Fsync, Identity, OldCopy, TokenRecord, TokenPeer, TokenGrows, Deadline, SentAt, Confirm, Extension, Stopped, Repeat, Given, LeaderSeen, LateWord, LateCommand}
 
+// Relays is every guard of relays.
+var Relays = []Name{RelayEpoch, RelayBoth, RelayHeld, RelayCarries, RelayBatch, RelayFanout, RelayLeader}
+
 // Shelf is every guard of shelves.
 var Shelf = []Name{ShelfFence, ShelfGroup, ShelfWindow, ShelfDoubt, ShelfDigest, ShelfFinal, ShelfToken}
 
--- a/internal/cluster/lease/lease.go
+++ b/internal/cluster/lease/lease.go
@@ -4,17 +4,23 @@
 package lease
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
+	"sort"
 
 	"lynxspool/internal/cluster/guard"
 )
 
 // Bounds of the record. What is over them is refused with a reason.
 const (
-	MembersMost = 1024    // gateways: three times the largest fleet asked for
+	// MembersMost bounds the gateways of a fleet with relays: 4,700 are asked for, and a third more
+	// for those that have gone and are yet to be forgotten. A full mesh takes meshMost: each holds a
+	// connection with each other.
+	MembersMost = 6144
+	meshMost    = 1024
 	DutiesMost  = 4096    // several a pool, with as many pools as a file may have
 	valuesMost  = 16      // keys that a duty keeps in the record
 	valueBytes  = 4 << 10 // each
@@ -67,8 +73,18 @@
 	Machine string   `json:"machine,omitempty"`
 	Address string   `json:"addr,omitempty"`
 	Offers  []string `json:"offers,omitempty"` // duties that it can hold
+	Part    Part     `json:"part,omitempty"`
 }
 
+// Part is what a gateway is in a fleet with relays; "": it has none.
+type Part string
+
+// The parts.
+const (
+	Relay   Part = "relay"   // it holds the streams of others, and may keep the record
+	Gateway Part = "gateway" // it holds a stream to a relay
+)
+
 // Code says what came of a command.
 type Code string
 
@@ -112,6 +128,7 @@
 	Address string `json:"addr,omitempty"`
 	Opening uint64 `json:"no"`  // of its last session
 	Mod     uint64 `json:"mod"` // index of the last change
+	Part    Part   `json:"part,omitempty"`
 }
 
 // Duty is named work with one owner at most.
@@ -166,7 +183,71 @@
 	// Words are those of operators, by pool and host.
 	Words map[string]*Word `json:"words,omitempty"`
 
-	news []Change // since they were last asked for; not of the record
+	// Not of the record.
+	news     []Change              // since they were last asked for
+	touched  []touched             // what has changed, the last last
+	lost     uint64                // index up to which touched may not say all
+	offering map[string][]*Session // those that offer each duty, by their ids; nil: not asked for yet
+	alike    []string              // what the last session offers
+	names    []string              // of the members, sorted; nil: not asked for since they changed
+}
+
+// touched is a member or duty that changed at an index.
+type touched struct {
+	index uint64
+	name  string
+	duty  bool
+}
+
+// touchedMost bounds how many changes are kept to tell gateways what is new to them: those that
+// renew each second are behind by a few; who is further back costs a look at all.
+const touchedMost = 8192
+
+func (s *State) touch(name string, duty bool) {
+	if n := len(s.touched); n > 0 && s.touched[n-1] == (touched{s.Index, name, duty}) {
+		return
+	}
+	if len(s.touched) >= touchedMost {
+		half := len(s.touched) / 2
+		s.lost = s.touched[half-1].index
+		s.touched = append(s.touched[:0], s.touched[half:]...)
+	}
+	s.touched = append(s.touched, touched{s.Index, name, duty})
+}
+
+// changedSince is the names of members and duties that changed behind an index, sorted; ok says
+// whether that is known.
+func (s *State) changedSince(index uint64) (members, duties []string, ok bool) {
+	if index < s.lost {
+		return nil, nil, false
+	}
+	from := sort.Search(len(s.touched), func(i int) bool { return s.touched[i].index > index })
+	for _, t := range s.touched[from:] {
+		if t.duty {
+			duties = append(duties, t.name)
+		} else {
+			members = append(members, t.name)
+		}
+	}
+	slices.Sort(members)
+	slices.Sort(duties)
+	return slices.Compact(members), slices.Compact(duties), true
+}
+
+// share has sessions that offer the same duties, as most do, keep one list of them.
+func (s *State) share(x *Session) {
+	if slices.Equal(x.Offers, s.alike) {
+		x.Offers = s.alike
+	}
+	s.alike = x.Offers
+}
+
+// MemberNames is the names of all members, sorted; it is not to be changed.
+func (s *State) MemberNames() []string {
+	if s.names == nil {
+		s.names = slices.Sorted(maps.Keys(s.Members))
+	}
+	return s.names
 }
 
 // NewState returns the record as it begins, with its first keepers.
@@ -194,8 +275,11 @@
 	if err := json.Unmarshal(b, n); err != nil {
 		return fmt.Errorf("the record: %w", err)
 	}
-	n.news = s.news
+	n.news, n.lost = s.news, n.Index
 	*s = *n
+	for _, id := range slices.Sorted(maps.Keys(s.Sessions)) {
+		s.share(s.Sessions[id])
+	}
 	return nil
 }
 
@@ -286,9 +370,12 @@
 	case len(o.Offers) > offersMost:
 		return Result{Code: Refused, Why: fmt.Sprintf("it offers to hold %d duties, %d at most", len(o.Offers), offersMost)}
 	}
-	m := s.Members[o.Name]
-	if m == nil && len(s.Members) >= MembersMost {
-		return Result{Code: Refused, Why: fmt.Sprintf("the fleet has %d members, %d at most", len(s.Members), MembersMost)}
+	m, most := s.Members[o.Name], meshMost
+	if o.Part != "" {
+		most = MembersMost
+	}
+	if m == nil && len(s.Members) >= most {
+		return Result{Code: Refused, Why: fmt.Sprintf("the fleet has %d members, %d at most", len(s.Members), most)}
 	}
 	if m != nil && m.Disk == o.Disk {
 		switch {
@@ -307,11 +394,23 @@
 		s.end(was.ID, "restarted")
 	}
 	s.NextID++
-	s.Sessions[s.NextID] = &Session{ID: s.NextID, Opens: *o, Since: s.Index}
-	s.Members[o.Name] = &Member{o.Name, s.NextID, o.Disk, o.Zone, o.Machine, o.Address, o.Opening, s.Index}
+	x := &Session{ID: s.NextID, Opens: *o, Since: s.Index}
+	s.share(x)
+	s.Sessions[s.NextID] = x
+	if m == nil {
+		s.names = nil
+	}
+	s.Members[o.Name] = &Member{o.Name, s.NextID, o.Disk, o.Zone, o.Machine, o.Address, o.Opening, s.Index, o.Part}
+	s.touch(o.Name, false)
+	if s.offering != nil {
+		for _, d := range x.Offers {
+			s.offering[d] = append(s.offering[d], x) // its id is the highest
+		}
+	}
 	for _, d := range o.Offers {
 		if s.Duties[d] == nil && len(d) <= NameMost && d != "" && len(s.Duties) < DutiesMost {
 			s.Duties[d] = &Duty{Name: d, Mod: s.Index}
+			s.touch(d, true)
 		}
 	}
 	return Result{Code: OK, Session: s.NextID}
@@ -326,6 +425,15 @@
 	delete(s.Sessions, id)
 	if m := s.Members[x.Name]; m != nil && m.Session == id {
 		m.Session, m.Mod = 0, s.Index
+		s.touch(x.Name, false)
+	}
+	if s.offering != nil {
+		for _, d := range x.Offers {
+			list := s.offering[d]
+			if i, ok := slices.BinarySearchFunc(list, id, func(y *Session, id uint64) int { return cmp.Compare(y.ID, id) }); ok {
+				s.offering[d] = slices.Delete(list, i, i+1)
+			}
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Duties)) {
 		if d := s.Duties[name]; d.Owner == id {
@@ -339,6 +447,7 @@
 func (s *State) free(d *Duty, cause string) {
 	s.changed(Change{s.Index, d.Name, d.Holder, "", d.Token, cause})
 	d.Owner, d.Holder, d.Since, d.Mod = 0, "", s.Index, s.Index
+	s.touch(d.Name, true)
 }
 
 // grant gives a free duty to a session, under a new token.
@@ -348,6 +457,7 @@
 		d.Token = s.Token
 	}
 	d.Owner, d.Holder, d.Since, d.Mod, d.To, d.Avoid = x.ID, x.Name, s.Index, s.Index, "", ""
+	s.touch(d.Name, true)
 	s.changed(Change{s.Index, d.Name, "", x.Name, d.Token, cause})
 	return Result{Code: OK, Token: d.Token, Owner: x.Name}
 }
@@ -422,6 +532,7 @@
 			return Result{Code: Refused, Why: fmt.Sprintf("nobody holds %s", c.Duty)}
 		}
 		d.To, d.Mod = anybody, s.Index
+		s.touch(d.Name, true)
 		return Result{Code: OK, Owner: d.Holder, Token: d.Token}
 	case m == nil || m.Session == 0:
 		return Result{Code: Refused, Why: fmt.Sprintf("%s is no living member", c.To)}
@@ -431,6 +542,7 @@
 		return Result{Code: OK, Owner: d.Holder, Token: d.Token}
 	}
 	d.To, d.Mod = c.To, s.Index
+	s.touch(d.Name, true)
 	return Result{Code: OK, Owner: d.Holder, Token: d.Token}
 }
 
@@ -458,6 +570,7 @@
 		d.Values = map[string]string{}
 	}
 	d.Values[c.Key], d.Mod = c.Value, s.Index
+	s.touch(d.Name, true)
 	return Result{Code: OK, Token: d.Token}
 }
 
@@ -469,6 +582,7 @@
 	}
 	if m := s.Members[c.Name]; m != nil && m.Session == 0 && !s.keeps(m.Disk) {
 		delete(s.Members, c.Name)
+		s.names = nil
 		s.Cut = s.Index
 		return Result{Code: OK}
 	}
@@ -486,6 +600,8 @@
 	switch want := c.Op == Keep; {
 	case want && (m == nil || m.Session == 0):
 		return Result{Code: Refused, Why: fmt.Sprintf("%s is no living member", c.Name)}
+	case want && m.Part == Gateway:
+		return Result{Code: Refused, Why: fmt.Sprintf("%s is no relay: only those are connected with one another, and keep the record", c.Name)}
 	case want && !s.Want[c.Name] && len(s.Want) >= KeepersMost:
 		return Result{Code: Refused, Why: fmt.Sprintf("%d gateways hold the record, %d at most", len(s.Want), KeepersMost)}
 	case want:
@@ -558,6 +674,9 @@
 	Members []Member  `json:"members,omitempty"`
 	Duties  []Holding `json:"duties,omitempty"`
 	Keepers []Keeper  `json:"keepers,omitempty"` // nil: as before
+	// Count is how many members have a session, in place of Members, where one is told no others;
+	// 0: as before.
+	Count int `json:"count,omitempty"`
 	// WordsMod is the index of the last change of Words, which are all there are of the fleet that
 	// was formed with Birth; 0: as before.
 	Birth    uint64 `json:"birth,omitempty"`
@@ -565,16 +684,34 @@
 	Words    []Word `json:"words,omitempty"`
 }
 
-// Since tells what changed behind an index, or the whole.
-func (s *State) Since(index uint64) View {
+// Since tells what changed behind an index, or the whole. It costs what has changed.
+func (s *State) Since(index uint64) View { return s.since(index, "") }
+
+// SinceLean is Since without members, but for the one that is named and how many there are.
+func (s *State) SinceLean(index uint64, name string) View { return s.since(index, name) }
+
+func (s *State) since(index uint64, only string) View {
 	v := View{Index: s.Index, Whole: index < s.Cut || index == 0}
-	for _, name := range slices.Sorted(maps.Keys(s.Members)) {
-		if m := s.Members[name]; v.Whole || m.Mod > index {
+	members, duties, ok := s.changedSince(index)
+	if v.Whole || !ok {
+		members, duties = nil, slices.Sorted(maps.Keys(s.Duties))
+		if only == "" {
+			members = s.MemberNames()
+		}
+	}
+	if only != "" {
+		if v.Whole || !ok || len(members) > 0 {
+			v.Count = len(s.Sessions)
+		}
+		members = []string{only}
+	}
+	for _, name := range members {
+		if m := s.Members[name]; m != nil && (v.Whole || m.Mod > index) {
 			v.Members = append(v.Members, *m)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.Duties)) {
-		if d := s.Duties[name]; v.Whole || d.Mod > index {
+	for _, name := range duties {
+		if d := s.Duties[name]; d != nil && (v.Whole || d.Mod > index) {
 			v.Duties = append(v.Duties, Holding{d.Name, d.Owner, d.Holder, d.Token, d.To})
 		}
 	}
--- a/internal/cluster/lease/place.go
+++ b/internal/cluster/lease/place.go
@@ -18,18 +18,16 @@
 // leader. Duties that are held stay.
 func Place(s *State) (list []Command) {
 	load := map[uint64]int{}
+	offers := s.offers()
 	var free []*Duty
-	for _, name := range slices.Sorted(maps.Keys(s.Duties)) {
-		if d := s.Duties[name]; d.Owner != 0 && !(guard.Out(guard.Stopped) && d.To != "") {
+	for _, d := range s.Duties {
+		if d.Owner != 0 && !(guard.Out(guard.Stopped) && d.To != "") {
 			load[d.Owner]++
-		} else {
+		} else if len(offers[d.Name]) > 0 {
 			free = append(free, d)
 		}
 	}
-	if len(free) == 0 {
-		return nil
-	}
-	offers := s.offers()
+	slices.SortFunc(free, func(a, b *Duty) int { return cmp.Compare(a.Name, b.Name) })
 	for _, d := range free {
 		x := s.choose(d, offers[d.Name], load)
 		if x == nil {
@@ -41,14 +39,19 @@
 	return list
 }
 
-// offers is the sessions that offer each duty.
+// offers is the sessions that offer each duty. It is kept as sessions come and go: 4,700 that offer
+// 500 duties each are 2.4 million, too many to go through at each tick of a leader.
 func (s *State) offers() map[string][]*Session {
+	if s.offering != nil {
+		return s.offering
+	}
 	offers := map[string][]*Session{}
 	for _, id := range slices.Sorted(maps.Keys(s.Sessions)) {
 		for _, duty := range s.Sessions[id].Offers {
 			offers[duty] = append(offers[duty], s.Sessions[id])
 		}
 	}
+	s.offering = offers
 	return offers
 }
 
@@ -60,7 +63,10 @@
 		if a, b := x.Name == d.Avoid, y.Name == d.Avoid; a != b {
 			return b
 		}
-		return cmp.Or(cmp.Compare(load[x.ID], load[y.ID]), cmp.Compare(rank(d.Name, x.Name), rank(d.Name, y.Name)), cmp.Compare(x.ID, y.ID)) < 0
+		if a, b := load[x.ID], load[y.ID]; a != b {
+			return a < b
+		}
+		return cmp.Or(cmp.Compare(rank(d.Name, x.Name), rank(d.Name, y.Name)), cmp.Compare(x.ID, y.ID)) < 0
 	}
 	for _, x := range among {
 		if best == nil || better(x, best) {
@@ -98,6 +104,13 @@
 		}
 		load[d.Owner]++
 	}
+	most, least := 0, len(s.Duties)
+	for id := range s.Sessions {
+		most, least = max(most, load[id]), min(least, load[id])
+	}
+	if most-least < spare {
+		return nil // as mostly; what follows goes through all offers
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.Duties)) {
 		d := s.Duties[name]
 		if d.Owner == 0 {
--- a/internal/cluster/lease/watch.go
+++ b/internal/cluster/lease/watch.go
@@ -32,6 +32,10 @@
 	lapsing map[uint64]time.Duration // when their end was proposed
 	hears   map[uint64]hearing
 	words   map[string]lasting
+	// next is before any session is over, as long as none but those up to opened is there: a tick
+	// costs nothing until then.
+	next   time.Duration
+	opened uint64
 }
 
 // hearing is how far a gateway has heard our answers, and since when it stands there.
@@ -99,6 +103,10 @@
 
 // Lapsed returns the sessions that are over, each once; whoever asks proposes their end.
 func (w *Watch) Lapsed(now time.Duration, s *State) (list []uint64) {
+	if now < w.next && s.NextID == w.opened {
+		return nil
+	}
+	w.opened, w.next = s.NextID, now+TTL
 	for id := range w.until {
 		if s.Sessions[id] == nil {
 			delete(w.until, id)
@@ -119,6 +127,11 @@
 			w.lapsing[id] = now
 			list = append(list, id)
 		}
+		if at, ok := w.lapsing[id]; ok {
+			w.next = min(w.next, at+lapseAgain)
+		} else {
+			w.next = min(w.next, w.end(id))
+		}
 	}
 	return list
 }
--- a/internal/cluster/member/lead.go
+++ b/internal/cluster/member/lead.go
@@ -293,7 +293,12 @@
 	case !m.watch.Renew(w.renew.Session, w.heard):
 		a.Gone = true
 	default:
-		v := m.st.Since(w.renew.Known)
+		var v lease.View
+		if w.renew.Lean {
+			v = m.st.SinceLean(w.renew.Known, m.st.Sessions[w.renew.Session].Name)
+		} else {
+			v = m.st.Since(w.renew.Known)
+		}
 		a.View = &v
 	}
 	m.talk(w.from, &Talk{Ack: a})
--- a/internal/cluster/member/member.go
+++ b/internal/cluster/member/member.go
@@ -46,9 +46,9 @@
 	// greetEvery lies between two hellos of a replica that waits to be cleared.
 	greetEvery = time.Second
 	// asksMost bounds the commands of this gateway that are out, renewsMost the renewals that
-	// wait for a quorum's word at a leader.
+	// wait for a quorum's word at a leader: 4,700 gateways renew in a second, and some come again.
 	asksMost   = 16
-	renewsMost = 4096
+	renewsMost = 8192
 )
 
 // All is the name of all others, in a fleet with relays.
@@ -235,6 +235,7 @@
 	lead    string
 	term    uint64
 	at      time.Duration // when it was last confirmed
+	count   int           // of sessions, where members are not told
 }
 
 // New brings a member up from its disk at now.
@@ -266,6 +267,22 @@
 	return m, nil
 }
 
+// gateway says whether this is a gateway of a fleet with relays: it has no peers.
+func (m *Member) gateway() bool {
+	return m.cfg.Relayed && len(m.cfg.Peers) == 0 && !slices.Contains(m.cfg.First, m.cfg.Name)
+}
+
+// part is what it says of that as it opens a session.
+func (m *Member) part() lease.Part {
+	switch {
+	case !m.cfg.Relayed:
+		return ""
+	case m.gateway():
+		return lease.Gateway
+	}
+	return lease.Relay
+}
+
 // record is the Member as the machine of the record's group.
 type record Member
 
--- a/internal/cluster/member/session.go
+++ b/internal/cluster/member/session.go
@@ -1,9 +1,11 @@
 package member
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"lynxspool/internal/cluster/disk"
 	"lynxspool/internal/cluster/guard"
 	"lynxspool/internal/cluster/lease"
 )
@@ -31,7 +33,7 @@
 	m.openings++
 	return lease.Command{Op: lease.Open, Open: &lease.Opens{
 		Name: m.cfg.Name, Disk: m.cfg.Disk.Replica, Opening: m.cfg.Disk.Boots<<32 | m.openings, Zone: m.cfg.Zone, Machine: m.cfg.Machine,
-		Address: m.cfg.Address, Offers: m.offers,
+		Address: m.cfg.Address, Offers: m.offers, Part: m.part(),
 	}}
 }
 
@@ -47,7 +49,8 @@
 			delete(m.sent, seq)
 		}
 	}
-	m.toTarget(&Talk{Renew: &Renew{m.session, m.lastSeq, m.heard, m.view.index}})
+	m.out.Asked = true
+	m.toTarget(&Talk{Renew: &Renew{m.session, m.lastSeq, m.heard, m.view.index, m.gateway()}})
 }
 
 // toTarget says something to whoever is taken to lead.
@@ -120,6 +123,7 @@
 	if a.View != nil || a.Again { // a leader's word: any other's says nothing of whether we hear that
 		m.heard = max(m.heard, a.Seq)
 	}
+	m.out.Answered = m.out.Answered || a.View != nil || a.Again || a.Gone
 	if a.Again {
 		m.renewGap = 0 // it is renewed once the leader knows that we hear it
 		return
@@ -166,6 +170,9 @@
 		// Else it is the answer to a question from before all was to be learnt anew.
 		m.view.index = max(m.view.index, v.Index)
 	}
+	if v.Count > 0 {
+		m.view.count = v.Count
+	}
 	m.view.lead, m.view.term, m.view.at = from, a.Term, m.now
 	m.learnDuties(v.Duties)
 	m.learnWords(v)
@@ -299,6 +306,7 @@
 
 func (m *Member) send(a *ask) {
 	a.again = m.now + askAgain + time.Duration(m.rng.Int64N(int64(askAgain)))
+	m.out.Asked = m.out.Asked || a.ID == m.opening || a.Command.Op == lease.Open
 	m.toTarget(&Talk{Ask: &a.Ask})
 }
 
@@ -339,6 +347,7 @@
 // hearAnswer takes the answer to a command.
 func (m *Member) hearAnswer(from string, r *Answer) {
 	m.answered(from, !r.Not, r.Lead)
+	m.out.Answered = m.out.Answered || !r.Not && r.Result != nil
 	i := slices.IndexFunc(m.asks, func(a *ask) bool { return a.ID == r.ID })
 	if i < 0 {
 		return
@@ -390,6 +399,15 @@
 func (m *Member) Tell(now time.Duration, to, duty string, token, seq uint64, body []byte) {
 	m.now = now
 	b := talkBytes(&Talk{News: &News{duty, token, seq, body}})
+	if m.cfg.Relayed {
+		if to == "" {
+			to = All
+		}
+		if to != m.cfg.Name {
+			m.out.Sends = append(m.out.Sends, Send{To: to, Kind: KindTalk, Body: b})
+		}
+		return
+	}
 	for _, name := range m.cfg.Peers {
 		if _, ok := m.hellos[name]; ok && (to == "" || to == name) {
 			m.out.Sends = append(m.out.Sends, Send{To: name, Kind: KindTalk, Body: b})
@@ -428,8 +446,21 @@
 	m.out.News = append(m.out.News, *n)
 }
 
-// Moved tells that the way to the others is new: what went by the one of before may be lost.
+// Moved tells that the way to the others is new: what went by the one of before may be lost. The
+// session is renewed and what is out is asked for again at once; Out.Moved has others do the same.
 func (m *Member) Moved(now time.Duration) {
-	m.now = now
+	m.now, m.unheard = now, 0 // who was asked may not have heard it
 	m.out.Moved = true
+	m.renewGap = 0
+	for _, a := range m.asks {
+		a.again = now
+	}
+	m.live()
+}
+
+// Copied tells that others know better than our disk, which is an older copy: the replica ends.
+func (m *Member) Copied(now time.Duration, why string) {
+	m.now = now
+	m.copied = fmt.Errorf("%w: %s", disk.ErrCopy, why)
+	m.halt(m.copied)
 }
--- a/internal/cluster/member/status.go
+++ b/internal/cluster/member/status.go
@@ -99,7 +99,7 @@
 		s.Leader, s.Term = m.view.lead, max(s.Term, m.view.term)
 	}
 	if keeps && m.st.Birth != 0 {
-		for _, name := range slices.Sorted(maps.Keys(m.st.Members)) {
+		for _, name := range m.st.MemberNames() {
 			x := m.st.Members[name]
 			o := MemberStatus{Name: name, Session: x.Session, Disk: x.Disk, Zone: x.Zone, Machine: x.Machine}
 			if m.watch != nil && x.Session != 0 {
@@ -129,6 +129,9 @@
 		d := m.view.duties[name]
 		s.Duties = append(s.Duties, DutyStatus{Name: name, Owner: d.Holder, Token: d.Token, To: d.To})
 	}
+	if m.view.count > 0 {
+		s.Sessions = m.view.count
+	}
 	s.Keepers = append(s.Keepers, m.view.keepers...)
 	return s
 }
--- a/internal/cluster/member/wire.go
+++ b/internal/cluster/member/wire.go
@@ -65,8 +65,9 @@
 type Renew struct {
 	Session uint64 `json:"session"`
 	Seq     uint64 `json:"seq"`
-	Heard   uint64 `json:"heard"` // the last that was answered: a gateway that hears nothing is none that lives
-	Known   uint64 `json:"known"` // index of the view that is known
+	Heard   uint64 `json:"heard"`          // the last that was answered: a gateway that hears nothing is none that lives
+	Known   uint64 `json:"known"`          // index of the view that is known
+	Lean    bool   `json:"lean,omitempty"` // of the members only the asker, and how many there are
 }
 
 // Ack is the leader's word on a renewal, confirmed by a quorum, or news of the record.
--- a/internal/cluster/sim/check.go
+++ b/internal/cluster/sim/check.go
@@ -107,7 +107,15 @@
 func (n *Node) act(duty string, token, seq uint64) {
 	n.w.acts++
 	n.w.Hosts.act(duty, token)
-	n.m.Tell(n.clock(), "", duty, token, seq+1, []byte("news"))
+	if n.w.Relays == 0 {
+		n.m.Tell(n.clock(), "", duty, token, seq+1, []byte("news"))
+	} else if !n.w.hush {
+		t := told{token, 1}
+		if was := n.w.told[duty]; was.token == token {
+			t.seq = was.seq + 1
+		}
+		n.say(duty, t)
+	}
 	if n.w.rng.IntN(4) == 0 {
 		n.m.Ask(n.clock(), lease.Command{Op: lease.Write, Duty: duty, Token: token, Key: "by", Value: fmt.Sprintf("%020d", token)})
 	}
--- a/internal/cluster/sim/nemesis.go
+++ b/internal/cluster/sim/nemesis.go
@@ -214,6 +214,11 @@
 			continue
 		}
 		s := n.m.Status(n.clock())
+		if n.way != nil {
+			text += fmt.Sprintf("\nby %+v", n.way.Status())
+		} else if n.router != nil {
+			text += fmt.Sprintf("\n%+v", n.router.Status())
+		}
 		text += fmt.Sprintf("\n%s %s term %d lead %q session %d commit %d applied %d cleared %v keepers %v why %s; %d sessions, holds %v",
 			n.name, s.Role, s.Term, s.Leader, s.Session, s.Commit, s.Applied, n.m.Cleared(), s.Keepers, s.Why, s.Sessions, n.m.Holds())
 	}
--- a/internal/cluster/sim/planted_test.go
+++ b/internal/cluster/sim/planted_test.go
@@ -30,6 +30,19 @@
 			t.Error("nothing finds it")
 		})
 	}
+	for _, g := range guard.Relays {
+		t.Run(string(g), func(t *testing.T) {
+			guard.Take(g)
+			defer guard.Take("")
+			for seed := uint64(1); seed <= 600; seed++ {
+				if err := Relays(seed); err != nil {
+					t.Logf("found by relays: %v", firstLine(err))
+					return
+				}
+			}
+			t.Error("nothing finds it")
+		})
+	}
 }
 
 // playAgain has commands come again behind others: each has its one effect, and its first answer.
--- a/internal/cluster/sim/sim_test.go
+++ b/internal/cluster/sim/sim_test.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// Fleets with relays, under faults of those and of streams beside all others.
+func TestRelays(t *testing.T) { each(t, *seeds, Relays) }
+
 // Each guard is taken out in turn, in a build of its own, and found: see TestEachGuard.
 func TestPlanted(t *testing.T) { testkit.Planted(t, guard.Planted) }
 
--- a/internal/cluster/sim/world.go
+++ b/internal/cluster/sim/world.go
@@ -17,12 +17,14 @@
 	"lynxspool/internal/cluster/lease"
 	"lynxspool/internal/cluster/member"
 	"lynxspool/internal/cluster/quorum"
+	"lynxspool/internal/cluster/relay"
 )
 
 // Options are what a world is made of.
 type Options struct {
 	Seed      uint64
 	Nodes     int
+	Relays    int // of the nodes: the first; the rest are gateways with one stream; 0: a full mesh
 	Keepers   int // that the fleet is formed with
 	Duties    int // each is offered by all
 	Locks     int // duties that are only claimed, by Clients
@@ -75,6 +77,10 @@
 	latest                   uint64        // index
 	calmed                   bool          // operators say no more
 	quiet                    time.Duration // until then no fault is put in
+	// With relays.
+	hush   bool                     // owners tell no news by themselves
+	told   map[string]told          // the last news of each duty
+	sentAt map[uint64]time.Duration // when a word was last said, by its digest
 }
 
 // Faults are shares by chance of frames, while they are on.
@@ -119,7 +125,9 @@
 	// stopActing has the process stop for so long between its next look and act.
 	stopActing time.Duration
 	doubt      uint64 // the identity of a disk that was put back
-	ended      error  // why it could not start
+	relayed
+	moves []time.Duration // when a relay took its stream
+	ended error           // why it could not start
 }
 
 type event struct {
@@ -151,14 +159,14 @@
 	w := &World{
 		Options: o, rng: rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)), cut: map[[2]int]bool{}, Hosts: newLedger(),
 		tokens: map[uint64]string{}, taken: map[string]uint64{}, digests: map[uint64]uint64{}, change: map[string]uint64{}, owner: map[string]uint64{}, wrote: map[string]string{},
-		ops: &history{}, Unowned: Gap{since: map[string]time.Duration{}},
+		ops: &history{}, Unowned: Gap{since: map[string]time.Duration{}}, told: map[string]told{}, sentAt: map[uint64]time.Duration{},
 	}
 	for i := range o.Nodes {
 		n := &Node{
 			w: w, i: i, name: fmt.Sprintf("g%d", i), fs: newFS(w.rng, &w.stamps), rate: 10000 + w.rng.Int64N(2*driftMost) - driftMost,
 			offset: time.Duration(w.rng.Int64N(int64(time.Hour))), fence: map[string]uint64{}, works: map[string]uint64{},
 		}
-		if i < o.Clients {
+		if i >= o.Relays && i < o.Relays+o.Clients {
 			n.client = &client{n: n}
 		}
 		w.Nodes = append(w.Nodes, n)
@@ -240,7 +248,7 @@
 	}
 	var names, first, offers []string
 	for i, o := range w.Nodes {
-		if o != n {
+		if o != n && (w.Relays == 0 || w.relayNode(n) && w.relayNode(o)) {
 			names = append(names, o.name)
 		}
 		if i < w.Keepers {
@@ -248,6 +256,9 @@
 		}
 	}
 	for i := range w.Duties {
+		if w.relayNode(n) {
+			break
+		}
 		offers = append(offers, fmt.Sprintf("d%d", i))
 	}
 	if w.trace {
@@ -256,6 +267,7 @@
 	n.d = d
 	n.m, err = member.New(n.clock(), member.Config{
 		Fleet: "f", Name: n.name, First: first, Peers: names, Offers: offers, Seed: w.rng.Uint64(), Disk: d.Identity(), Stored: stored, Words: n.kept,
+		Relayed: w.Relays > 0,
 	})
 	if err != nil {
 		w.bad("%s does not start: %v", n.name, err)
@@ -263,8 +275,11 @@
 	}
 	n.up, n.paused, n.held, n.writing = true, false, nil, nil
 	life := n.life
+	if w.Relays > 0 {
+		n.begin(life)
+	}
 	for _, o := range w.Nodes {
-		if o != n {
+		if o != n && (w.Relays == 0 || w.relayNode(n) && w.relayNode(o)) {
 			w.connect(n, o, life)
 			if o.up {
 				w.connect(o, n, o.life) // the connections to the process before have ended
@@ -291,6 +306,9 @@
 		o.come(func() {
 			if o.life == to {
 				o.m.Greet(o.clock(), h)
+				if o.router != nil {
+					o.router.Up(o.clock(), n.name)
+				}
 				o.drain()
 			}
 		})
@@ -330,9 +348,11 @@
 	if !n.up {
 		return
 	}
+	n.cutStreams(machine)
 	n.up = false
 	n.life++
 	n.held, n.paused = nil, false
+	n.relayed = relayed{}
 	clear(n.works)
 	clear(n.fence)
 	if n.writing != nil && n.w.rng.IntN(2) == 0 {
@@ -412,6 +432,7 @@
 	w.faults = Faults{}
 	for _, n := range w.Nodes {
 		n.fs.full, n.fs.broken, n.slow, n.stopActing = false, nil, 0, 0
+		n.mute, n.slowStreams = false, 0
 		n.Resume()
 		if n.up && n.m.Halted() != nil && !errors.Is(n.m.Halted(), quorum.ErrContradicts) {
 			n.Kill() // an operator starts it again; one with an older disk has to find out itself
@@ -422,8 +443,15 @@
 	}
 }
 
-// drain carries out what a member wants done.
+// drain carries out what a member wants done, and what its Router or Client does.
 func (n *Node) drain() {
+	n.drainMember()
+	for life := n.life; n.up && n.life == life && (n.router != nil || n.way != nil) && n.carry(); {
+		n.drainMember()
+	}
+}
+
+func (n *Node) drainMember() {
 	w := n.w
 	o := n.m.Drain()
 	life := n.life
@@ -436,7 +464,25 @@
 		n.write(o.Write, life)
 	}
 	for _, s := range o.Sends {
-		n.send(s)
+		if w.Relays > 0 {
+			n.hand(s)
+		} else {
+			n.send(s)
+		}
+	}
+	if n.way != nil {
+		if o.Asked {
+			n.way.Asked(n.clock())
+		}
+		if o.Answered {
+			n.way.Answered(n.clock())
+		}
+	}
+	if o.Moved {
+		n.want()
+	}
+	for _, a := range o.Wants {
+		n.askedNews(a)
 	}
 	for _, d := range o.Done {
 		if n.client != nil {
@@ -451,6 +497,10 @@
 	}
 	for _, x := range o.News {
 		w.taking("news at "+n.name, x.Duty, x.Token, n.fence)
+		if w.Relays > 0 {
+			n.news[x.Duty] = told{x.Token, x.Seq}
+			n.heardNews[x.Duty]++
+		}
 	}
 	if w.trace {
 		for _, l := range o.Lines {
@@ -531,6 +581,11 @@
 			}
 			to.come(func() {
 				if to.life == life {
+					if s.Kind == relay.KindRecord || s.Kind == relay.KindRoutes {
+						to.router.FromRelay(to.clock(), n.name, s.Kind, s.Body)
+						to.drain()
+						return
+					}
 					if err := to.m.Receive(to.clock(), n.name, s.Kind, s.Body); err != nil {
 						w.bad("%s can't read what %s has sent: %v", to.name, n.name, err)
 					}
@@ -591,6 +646,9 @@
 			return false
 		}
 	}
+	if !w.routed() {
+		return false
+	}
 	for _, d := range s.Duties {
 		if d.Name[0] == 'd' && (d.Owner == "" || w.holders(d.Name) != 1) {
 			return false
