--- a/internal/cluster/member/status.go
+++ b/internal/cluster/member/status.go
@@ -144,6 +144,14 @@
 	return list
 }
 
+// Hold returns what is held of one duty.
+func (m *Member) Hold(duty string) (h Hold, ok bool) {
+	if x := m.holds[duty]; x != nil {
+		return *x, true
+	}
+	return h, false
+}
+
 // Leads says whether this gateway leads the record.
 func (m *Member) Leads() bool { return m.lead }
 
--- a/internal/cluster/sim/relays.go
+++ b/internal/cluster/sim/relays.go
@@ -209,6 +209,8 @@
 		for _, f := range o.ToStream {
 			if s := n.streams[f.Name+fmt.Sprint(f.Epoch)]; s != nil && !(n.mute && f.Kind == relay.KindRecord) {
 				n.count(len(f.Body))
+				s.node[atGateway].gotFrames++
+				s.node[atGateway].gotBytes += len(f.Body)
 				s.send(atGateway, func() { s.node[atGateway].way.Heard(s.node[atGateway].clock(), s.epoch, f.Kind, f.Body) })
 			}
 		}
@@ -283,7 +285,7 @@
 // dial opens a stream.
 func (n *Node) dial(d relay.Dial) {
 	w := n.w
-	to := w.Nodes[slices.IndexFunc(w.Nodes, func(o *Node) bool { return o.name == d.Relay })]
+	to := w.named[d.Relay]
 	s := &stream{w: w, node: [2]*Node{n, to}, life: [2]int{n.life, to.life}, epoch: d.Join.Epoch, name: n.name}
 	key := n.name + fmt.Sprint(s.epoch)
 	n.streams[key] = s
@@ -376,13 +378,10 @@
 		}
 		for name, epoch := range n.router.Streams() {
 			count[name]++
-			for _, g := range w.Nodes[w.Relays:] {
-				if g.name != name {
-					continue
-				}
-				if now, ok := g.way.Current(); !ok || now != epoch {
-					return false
-				}
+			if g := w.named[name]; !g.up {
+				return false
+			} else if now, ok := g.way.Current(); !ok || now != epoch {
+				return false
 			}
 		}
 	}
@@ -496,7 +495,7 @@
 	if !w.Until(Bound, w.Whole) {
 		return w, w.failed("the fleet did not form")
 	}
-	for _, step := range []func() error{w.allCome, w.oneKilled, w.newsWhileMoving} {
+	for _, step := range []func() error{w.allCome, w.oneKilled, w.oneMute, w.newsWhileMoving} {
 		if err := step(); err != nil {
 			return w, err
 		}
@@ -616,6 +615,36 @@
 	return nil
 }
 
+// muteFor is how long a relay carries nothing on in oneMute: several times what a session lasts.
+const muteFor = 10 * time.Second
+
+// oneMute has a relay be there and carry nothing on, and checks that its gateways leave it before
+// any session lapses.
+func (w *World) oneMute() error {
+	n := w.Nodes[w.rng.IntN(w.Relays)]
+	before := map[*Node]uint64{}
+	for _, x := range w.Nodes {
+		before[x] = x.m.Session()
+	}
+	n.mute = true
+	if err := w.Run(muteFor); err != nil {
+		return err
+	}
+	n.mute = false
+	for _, x := range w.Nodes {
+		if x.m.Session() != before[x] {
+			return w.failed(fmt.Sprintf("the session of %s lapsed as %s carried nothing on", x.name, n.name))
+		}
+	}
+	if len(n.router.Streams()) > 0 {
+		return w.failed(fmt.Sprintf("%s has %d gateways still, %v after it carried nothing on any more", n.name, len(n.router.Streams()), muteFor))
+	}
+	if !w.Until(Bound, w.Whole) {
+		return w.failed("not whole after a relay carried on again")
+	}
+	return nil
+}
+
 // newsWhileMoving moves gateways, in each way that they may be, and has an owner tell something
 // meanwhile.
 func (w *World) newsWhileMoving() error {
@@ -788,9 +817,9 @@
 	}
 }
 
-// served says how long after a fault it lasts until each gateway has had its session renewed by its
-// relay; for figures.
-func (w *World) lastMoves(since time.Duration) (list []time.Duration) {
+// movesSince is how long after a fault each gateway that moved by it was taken by another relay,
+// sorted.
+func (w *World) movesSince(since time.Duration) (list []time.Duration) {
 	for _, n := range w.Nodes[w.Relays:] {
 		if i := slices.IndexFunc(n.moves, func(at time.Duration) bool { return at >= since }); i >= 0 {
 			list = append(list, n.moves[i]-since)
@@ -799,3 +828,84 @@
 	slices.Sort(list)
 	return list
 }
+
+// RelayCost is what a gateway's stream carries when nothing happens, and what a relay's end takes.
+type RelayCost struct {
+	Gateways int
+	FormedIn time.Duration
+	// Of the median gateway, a second: frames and bytes of what they carry, each way.
+	SentFrames, SentBytes, GotFrames, GotBytes float64
+	// Behind a relay's end, until its gateways were taken by others; Killed: its process ended and
+	// its connections with it; Silent: its machine, and nobody was told.
+	Killed, Silent, Led []time.Duration // Led: behind the leader's machine, all that moved
+	Lapsed              int             // sessions of others that lapsed by all of that
+}
+
+// MeasureRelays plays a fleet with relays that nobody disturbs, and then ends relays.
+func MeasureRelays(o Options) (c RelayCost, err error) {
+	o.ActEvery = time.Hour
+	w := New(o)
+	w.hush = true
+	c.Gateways = o.Nodes - o.Relays
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	if !w.Until(3*Bound, w.Whole) {
+		return c, w.failed("the fleet did not form")
+	}
+	c.FormedIn = w.Now
+	if err := w.Run(2 * costSpan); err != nil {
+		return c, err
+	}
+	for _, n := range w.Nodes {
+		n.frames, n.bytes, n.gotFrames, n.gotBytes = 0, 0, 0, 0
+	}
+	if err := w.Run(costSpan); err != nil {
+		return c, err
+	}
+	gateways := slices.Clone(w.Nodes[w.Relays:])
+	slices.SortFunc(gateways, func(x, y *Node) int { return x.bytes + x.gotBytes - y.bytes - y.gotBytes })
+	g := gateways[len(gateways)/2]
+	s := costSpan.Seconds()
+	c.SentFrames, c.SentBytes, c.GotFrames, c.GotBytes = float64(g.frames)/s, float64(g.bytes)/s, float64(g.gotFrames)/s, float64(g.gotBytes)/s
+	sessions := map[*Node]uint64{}
+	for _, n := range w.Nodes {
+		sessions[n] = n.m.Session()
+	}
+	end := func(n *Node, end func()) ([]time.Duration, error) {
+		at := w.Now
+		end()
+		if err := w.Run(2 * lease.TTL); err != nil {
+			return nil, err
+		}
+		for _, x := range w.Nodes {
+			if x != n && x.m.Session() != sessions[x] {
+				c.Lapsed++
+			}
+		}
+		list := w.movesSince(at)
+		n.Start()
+		if !w.Until(Bound, w.Whole) {
+			return list, w.failed("not whole after a relay came back")
+		}
+		for _, x := range w.Nodes {
+			sessions[x] = x.m.Session()
+		}
+		return list, nil
+	}
+	other := func() *Node {
+		lead := w.Leader()
+		return w.Nodes[slices.IndexFunc(w.Nodes, func(n *Node) bool { return n != lead && len(n.router.Streams()) > 0 })]
+	}
+	n := other()
+	if c.Killed, err = end(n, n.Kill); err != nil {
+		return c, err
+	}
+	n = other()
+	if c.Silent, err = end(n, n.Crash); err != nil {
+		return c, err
+	}
+	n = w.Leader()
+	c.Led, err = end(n, n.Crash)
+	return c, err
+}
--- a/internal/cluster/sim/sim_test.go
+++ b/internal/cluster/sim/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"runtime"
 	"sync"
 	"testing"
@@ -68,6 +69,27 @@
 // Fleets with relays, under faults of those and of streams beside all others.
 func TestRelays(t *testing.T) { each(t, *seeds, Relays) }
 
+var cost = flag.Int("gateways", 0, "what a fleet of so many gateways and 16 relays sends is measured")
+
+// What a relay's end takes: no session of another lapses. With -gateways and -v, the figures.
+func TestRelayCost(t *testing.T) {
+	c, err := MeasureRelays(Options{Seed: *first, Relays: 16, Nodes: 16 + max(*cost, 48), Keepers: 5, Duties: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	share := func(list []time.Duration) string {
+		if len(list) == 0 {
+			return "none"
+		}
+		return fmt.Sprintf("%d moved, p50 %v p99 %v most %v", len(list), list[len(list)/2], list[len(list)*99/100], list[len(list)-1])
+	}
+	t.Logf("%d gateways, formed in %v; a gateway sends %.1f frames %.0f bytes and gets %.1f frames %.0f bytes a second; killed: %s; its machine: %s; the leader's: %s", c.Gateways, c.FormedIn,
+		c.SentFrames, c.SentBytes, c.GotFrames, c.GotBytes, share(c.Killed), share(c.Silent), share(c.Led))
+	if c.Lapsed > 0 {
+		t.Errorf("%d sessions lapsed as relays ended", c.Lapsed)
+	}
+}
+
 // Each guard is taken out in turn, in a build of its own, and found: see TestEachGuard.
 func TestPlanted(t *testing.T) { testkit.Planted(t, guard.Planted) }
 
--- a/internal/cluster/sim/world.go
+++ b/internal/cluster/sim/world.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"lynxspool/internal/cluster/disk"
@@ -55,6 +54,7 @@
 	Bad error
 
 	rng    *rand.Rand
+	named  map[string]*Node
 	events queue
 	serial uint64
 	stamps int
@@ -126,8 +126,10 @@
 	stopActing time.Duration
 	doubt      uint64 // the identity of a disk that was put back
 	relayed
-	moves []time.Duration // when a relay took its stream
-	ended error           // why it could not start
+	moves     []time.Duration // when a relay took its stream
+	gotBytes  int             // by its stream
+	gotFrames int
+	ended     error // why it could not start
 }
 
 type event struct {
@@ -159,7 +161,7 @@
 	w := &World{
 		Options: o, rng: rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)), cut: map[[2]int]bool{}, Hosts: newLedger(),
 		tokens: map[uint64]string{}, taken: map[string]uint64{}, digests: map[uint64]uint64{}, change: map[string]uint64{}, owner: map[string]uint64{}, wrote: map[string]string{},
-		ops: &history{}, Unowned: Gap{since: map[string]time.Duration{}}, told: map[string]told{}, sentAt: map[uint64]time.Duration{},
+		ops: &history{}, Unowned: Gap{since: map[string]time.Duration{}}, named: map[string]*Node{}, told: map[string]told{}, sentAt: map[uint64]time.Duration{},
 	}
 	for i := range o.Nodes {
 		n := &Node{
@@ -170,6 +172,7 @@
 			n.client = &client{n: n}
 		}
 		w.Nodes = append(w.Nodes, n)
+		w.named[n.name] = n
 	}
 	return w
 }
@@ -556,7 +559,7 @@
 
 func (n *Node) send(s member.Send) {
 	w := n.w
-	to := w.Nodes[slices.IndexFunc(w.Nodes, func(o *Node) bool { return o.name == s.To })]
+	to := w.named[s.To]
 	w.Frames++
 	w.Bytes += len(s.Body)
 	n.frames++
@@ -682,10 +685,8 @@
 
 // believes is the token by which a gateway believes to own a duty; 0: it does not.
 func (n *Node) believes(duty string) uint64 {
-	for _, h := range n.m.Holds() {
-		if h.Duty == duty && (n.clock() < h.Deadline || guard.Out(guard.Deadline)) {
-			return h.Token
-		}
+	if h, ok := n.m.Hold(duty); ok && (n.clock() < h.Deadline || guard.Out(guard.Deadline)) {
+		return h.Token
 	}
 	return 0
 }
