A fleet with relays: the loop drives a Router or a Client beside the member

The machines of relays (internal/cluster/relay) and the carrier's streams had nothing between them. cluster.Fleet now has either part in its loop: a relay's Router beside its member and the mesh of relays, a gateway's Client, which dials, beside its own. A gateway with relays opens no listener and has no peers. What a stream says of its gateway's name and disk must be what its handshake said. A relay that knows a later stream of a disk has that set aside as a copy. Without relays in the file nothing of it runs.

A status is made when somebody asks, by the loop, in place of five times a second: at a relay of a large fleet it has all members in it. A relay whose file has nothing for requests runs without the gateway (cmd/dunemoor); SIGHUP says what of its file waits for the next start. Of a fleet with relays only relays take housekeeping: a gateway there knows no other. Hints count the gateways by their sessions.

TestRelayed has three relays and six gateways in one process on sockets: an owner's words reach all once and in order, and those of a relay that ends (it led the record) are elsewhere with the sessions that they had. TestRelayPretenders: another's name or disk in a join, a relay's name, a second gateway under one name.

--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -73,6 +73,9 @@
 		if err != nil {
 			return err
 		}
+		if !a.Serves() {
+			return launchRelay(a, appliance, calls, stop, hup)
+		}
 		var sources func(pool, addr string) gateway.Source
 		var about map[string]admin.Call
 		var drained map[string][]string
@@ -224,6 +227,9 @@
 		}
 		return wrong[0]
 	}
+	if !a.Serves() {
+		return fmt.Errorf("%s: listener: there is none: whether a relay serves requests is used from the next start on", path)
+	}
 	if err := g.Reload(a); err != nil {
 		return err
 	}
--- a/cmd/dunemoorctl/appliance.go
+++ b/cmd/dunemoorctl/appliance.go
@@ -23,6 +23,10 @@
 			if err != nil {
 				return err
 			}
+			if !a.Serves() {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: right: a relay of fleet %s, it serves no requests\n", args[0], a.Fleet.ID)
+				return nil
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: right: %d listeners, %d classes, %d pools, %d routes\n",
 				args[0], len(a.Listeners), len(a.Classes), len(a.Pools), len(a.Routes))
 			return nil
--- a/cmd/dunemoorctl/fleet.go
+++ b/cmd/dunemoorctl/fleet.go
@@ -6,14 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"lynxspool/internal/cluster"
 	"lynxspool/internal/cluster/member"
 	"lynxspool/internal/fleet"
 )
@@ -41,12 +44,12 @@
 	var admin string
 	cmd := &cobra.Command{Use: "fleet", Short: "See who owns what in a fleet of gateways, and change it"}
 	cmd.PersistentFlags().StringVar(&admin, "admin", "127.0.0.1:8090", "the gateway's address for operators, `host:port`")
-	status := func() (*member.Status, []byte, error) {
+	status := func() (*cluster.Status, []byte, error) {
 		text, err := call(http.MethodGet, admin, fleet.PathFleet, nil)
 		if err != nil {
 			return nil, nil, err
 		}
-		s := &member.Status{}
+		s := &cluster.Status{Status: &member.Status{}}
 		if err := json.Unmarshal(text, s); err != nil {
 			return nil, nil, fmt.Errorf("%s: %w", admin, err)
 		}
@@ -73,7 +76,7 @@
 		},
 	}
 	show.Flags().BoolVar(&asJSON, "json", false, "as JSON")
-	table := func(use, short string, print func(w io.Writer, s *member.Status)) *cobra.Command {
+	table := func(use, short string, print func(w io.Writer, s *cluster.Status)) *cobra.Command {
 		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			s, _, err := status()
 			if err == nil {
@@ -196,7 +199,7 @@
 	return 1
 }
 
-func printStatus(w io.Writer, s *member.Status) {
+func printStatus(w io.Writer, s *cluster.Status) {
 	fmt.Fprintf(w, "%s of fleet %s: %s", s.Name, s.ID, s.Role)
 	if s.Why != "" {
 		fmt.Fprintf(w, " (%s)", s.Why)
@@ -212,6 +215,7 @@
 	} else {
 		fmt.Fprintf(w, "confirmed by the leader %d ms ago\n", s.FreshMS)
 	}
+	printRelay(w, s)
 	var keepers []string
 	for _, k := range s.Keepers {
 		name := cmp.Or(k.Name, fmt.Sprint(k.Replica))
@@ -220,11 +224,37 @@
 		}
 		keepers = append(keepers, name)
 	}
-	fmt.Fprintf(w, "the record is held by %s\n%d members, %d with a session\n\n", cmp.Or(strings.Join(keepers, ", "), "nobody that is known"), len(s.Members), s.Sessions)
+	fmt.Fprintf(w, "the record is held by %s\n%d members, %d with a session\n\n", cmp.Or(strings.Join(keepers, ", "), "nobody that is known"), max(len(s.Members), s.Sessions), s.Sessions)
 	printDuties(w, s)
 }
 
-func printMembers(w io.Writer, s *member.Status) {
+// printRelay tells of a fleet with relays: where the gateway has its stream, or what the relay holds.
+func printRelay(w io.Writer, s *cluster.Status) {
+	if r := s.Relay; r != nil {
+		if r.Name == "" {
+			fmt.Fprint(w, "no relay")
+		} else {
+			fmt.Fprintf(w, "at relay %s for %v", r.Name, (time.Duration(r.SinceMS) * time.Millisecond).Round(time.Second))
+		}
+		if r.First != "" && r.First != r.Name {
+			fmt.Fprintf(w, ", would be at %s", r.First)
+		}
+		fmt.Fprintf(w, "; epoch %x, %d streams so far", r.Epoch, r.Moves)
+		for _, why := range slices.Sorted(maps.Keys(r.Ends)) {
+			fmt.Fprintf(w, ", %s: %d", why, r.Ends[why])
+		}
+		fmt.Fprintln(w)
+	}
+	if r := s.Streams; r != nil {
+		fmt.Fprintf(w, "a relay: %d gateways here, %d at most, %d at all relays that are up:", r.Streams, r.Bound, r.Routes)
+		for _, name := range slices.Sorted(maps.Keys(r.Relays)) {
+			fmt.Fprintf(w, " %s %d", name, r.Relays[name])
+		}
+		fmt.Fprintf(w, "\nstreams taken %d, refused %d, cut %d; words dropped %d, garbled %d\n", r.Joins, r.Refused, r.Cuts, r.Dropped, r.Bad)
+	}
+}
+
+func printMembers(w io.Writer, s *cluster.Status) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	defer t.Flush()
 	fmt.Fprintln(t, "GATEWAY\tSESSION\tEXPIRES\tZONE\tMACHINE\tDISK")
@@ -240,7 +270,7 @@
 	}
 }
 
-func printWords(w io.Writer, s *member.Status) {
+func printWords(w io.Writer, s *cluster.Status) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	defer t.Flush()
 	fmt.Fprintln(t, "HOST\tENDS IN\tASKED AT\tREASON")
@@ -253,7 +283,7 @@
 	}
 }
 
-func printDuties(w io.Writer, s *member.Status) {
+func printDuties(w io.Writer, s *cluster.Status) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	defer t.Flush()
 	fmt.Fprintln(t, "DUTY\tOWNER\tTOKEN\tTO")
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,6 +26,7 @@
 	"lynxspool/internal/cluster/member"
 	"lynxspool/internal/cluster/peer"
 	"lynxspool/internal/cluster/quorum"
+	"lynxspool/internal/cluster/relay"
 )
 
 // Config is a gateway's part in a fleet, as its file says.
@@ -36,6 +37,11 @@
 	Key                     []byte
 	First                   []string
 	Peers                   []Peer
+
+	// Relays is for fleets that have some, in place of Peers; one of this gateway's own name says
+	// that it is one. Other gateways need no Listen.
+	Relays []Relay
+	Region string
 }
 
 // Peer is another gateway.
@@ -46,8 +52,10 @@
 	// eventsMost bounds what waits for the loop; who brings more waits, and with him the
 	// connection that it came by.
 	eventsMost = 1024
-	// statusEvery is how old what is shown may be.
+	// statusEvery is how old what is shown may be, statusMost how long the loop is waited for where
+	// it is older.
 	statusEvery = 200 * time.Millisecond
+	statusMost  = time.Second
 	// asideMost is how many disks that can't be used are kept for whoever looks into it.
 	asideMost = 2
 	// reviveEvery is when a disk that was full is tried again.
@@ -71,7 +79,9 @@
 	all    sync.WaitGroup
 
 	hello  atomic.Pointer[member.Hello]
-	status atomic.Pointer[member.Status]
+	status atomic.Pointer[Status]
+	stale  atomic.Bool // what is shown is older than what was logged
+	shown  atomic.Int64
 	judge  atomic.Pointer[member.Member] // for Judge, which looks at what does not change
 
 	// OnWords is told of the operators' words as they change, from the loop. Set before Start.
@@ -82,9 +92,8 @@
 	syncs prometheus.Histogram
 
 	// Of the loop.
+	relayed *relayed // nil: the fleet has no relays
 	waiting map[uint64]chan<- member.Done
-	shown   time.Duration
-	asked   bool // Status was, since shown
 	news    map[string]func(member.News)
 	wants   map[string]func(from string, body []byte)
 	counts  counts
@@ -115,9 +124,11 @@
 	if f.dir, err = disk.OpenDir(cfg.DataDir); err != nil {
 		return nil, fmt.Errorf("fleet.data_dir: %w", err)
 	}
-	if f.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
-		f.dir.Close()
-		return nil, fmt.Errorf("fleet.listen: %w", err)
+	if len(cfg.Relays) == 0 || f.isRelay(cfg.Name) {
+		if f.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
+			f.dir.Close()
+			return nil, fmt.Errorf("fleet.listen: %w", err)
+		}
 	}
 	words := f.readWords()
 	f.words.Store(&words)
@@ -140,25 +151,29 @@
 // Start joins the fleet.
 func (f *Fleet) Start() error {
 	stored, err := f.open()
-	if err != nil {
-		f.ln.Close()
-		f.dir.Close()
-		return err
+	if err == nil {
+		err = f.join(stored)
 	}
-	if err := f.join(stored); err != nil {
-		f.ln.Close()
+	if err != nil {
+		if f.ln != nil {
+			f.ln.Close()
+		}
 		f.dir.Close()
 		return err
 	}
 	peers := map[string]string{}
-	for _, p := range f.cfg.Peers {
+	for _, p := range f.peers() {
 		peers[p.Name] = p.Address
 	}
-	f.carrier = peer.New(peer.Config{
+	cfg := peer.Config{
 		Name: f.cfg.Name, Key: f.cfg.Key, Peers: peers,
 		Hello: func() member.Hello { return *f.hello.Load() },
 		Judge: func(h *member.Hello) string { return f.judge.Load().Judge(h) },
-	}, f.ln, (*handler)(f))
+	}
+	if len(f.cfg.Relays) > 0 {
+		cfg.Streams, cfg.JudgeStream, cfg.Serve = (*handler)(f), f.judgeStream, f.isRelay(f.cfg.Name)
+	}
+	f.carrier = peer.New(cfg, f.ln, (*handler)(f))
 	f.all.Go(f.loop)
 	f.all.Go(f.writer)
 	f.all.Go(f.keepWords)
@@ -166,6 +181,20 @@
 	return nil
 }
 
+// peers are the gateways that this one is connected with, both ways.
+func (f *Fleet) peers() []Peer {
+	if len(f.cfg.Relays) == 0 {
+		return f.cfg.Peers
+	}
+	var list []Peer
+	for _, r := range f.cfg.Relays {
+		if r.Name != f.cfg.Name && f.isRelay(f.cfg.Name) {
+			list = append(list, Peer{Name: r.Name, Address: r.Address})
+		}
+	}
+	return list
+}
+
 // open opens the disk. One that can't be trusted is set aside, and an empty one made: this
 // gateway is another replica from then on.
 func (f *Fleet) open() (map[quorum.Group]quorum.Stored, error) {
@@ -231,12 +260,13 @@
 // join makes the member on the disk that is open.
 func (f *Fleet) join(stored map[quorum.Group]quorum.Stored) error {
 	var names []string
-	for _, p := range f.cfg.Peers {
+	for _, p := range f.peers() {
 		names = append(names, p.Name)
 	}
 	m, err := member.New(duty.Now(), member.Config{
 		Fleet: f.cfg.ID, Name: f.cfg.Name, Zone: f.cfg.Zone, Machine: f.cfg.Machine, Address: f.cfg.Listen, First: f.cfg.First,
 		Peers: names, Offers: f.duties.Names(), Seed: random(), Disk: f.disk.Identity(), Stored: stored, Words: *f.words.Load(),
+		Relayed: len(f.cfg.Relays) > 0,
 	})
 	if err != nil {
 		return err
@@ -245,7 +275,8 @@
 	f.judge.Store(m)
 	h := m.Hello()
 	f.hello.Store(&h)
-	f.status.Store(m.Status(duty.Now()))
+	f.relays(duty.Now(), &h)
+	f.show(duty.Now())
 	slog.Info("fleet joined", "fleet", f.cfg.ID, "name", f.cfg.Name, "disk", h.Replica, "boots", h.Boots)
 	return nil
 }
@@ -262,6 +293,12 @@
 func (f *Fleet) loop() {
 	tick := time.NewTicker(member.TickEvery)
 	defer tick.Stop()
+	var batch <-chan time.Time // of a relay
+	if f.relayed != nil && f.relayed.router != nil {
+		t := time.NewTicker(relay.TickEvery)
+		defer t.Stop()
+		batch = t.C
+	}
 	f.step()
 	for {
 		select {
@@ -274,14 +311,29 @@
 				(<-f.events)()
 			}
 		case <-tick.C:
-			f.member.Tick(duty.Now())
+			now := duty.Now()
+			f.member.Tick(now)
+			if f.relayed != nil {
+				f.relayed.tick(now)
+			}
+		case <-batch:
+			f.relayed.tick(duty.Now())
 		}
 		f.step()
 	}
 }
 
-// step carries out what the member wants done.
+// step carries out what the member and its part of relays want done.
 func (f *Fleet) step() {
+	f.carryOut()
+	for f.relayed != nil && f.relayed.step(f) {
+		f.carryOut()
+	}
+	f.revive(duty.Now())
+}
+
+// carryOut carries out what the member wants done.
+func (f *Fleet) carryOut() {
 	o := f.member.Drain()
 	if o.Birth != 0 {
 		if err := f.disk.SetBirth(o.Birth); err != nil {
@@ -289,14 +341,27 @@
 		}
 	}
 	// Before anything is sent that goes beyond it.
-	h := f.member.Hello()
-	f.hello.Store(&h)
+	if h := f.member.Hello(); h != *f.hello.Load() {
+		f.hello.Store(&h)
+	}
 	if o.Write != nil {
 		f.writing = true
 		f.writes <- o.Write // the one before has been told as written
 	}
 	for i := range o.Sends {
-		f.carrier.Send(&o.Sends[i])
+		if f.relayed != nil {
+			f.relayed.send(f, duty.Now(), &o.Sends[i])
+		} else {
+			f.carrier.Send(&o.Sends[i])
+		}
+	}
+	if f.relayed != nil && f.relayed.client != nil {
+		if o.Asked {
+			f.relayed.client.Asked(duty.Now())
+		}
+		if o.Answered {
+			f.relayed.client.Answered(duty.Now())
+		}
 	}
 	for _, d := range o.Done {
 		if c := f.waiting[d.ID]; c != nil {
@@ -321,7 +386,15 @@
 			tell(w.From, w.Body)
 		}
 	}
-	for _, l := range o.Lines {
+	f.log(o.Lines)
+	if len(o.Lines) > 0 || o.Held {
+		f.stale.Store(true)
+	}
+}
+
+// log logs lines.
+func (f *Fleet) log(lines []member.Line) {
+	for _, l := range lines {
 		if l.Text == "duty changed hands" {
 			f.counts.changes.Add(1)
 		}
@@ -331,12 +404,17 @@
 			slog.Info(l.Text, l.Args...)
 		}
 	}
-	now := duty.Now()
-	if now >= f.shown+statusEvery || len(o.Lines) > 0 || o.Held {
-		f.shown = now
-		f.status.Store(f.member.Status(now))
+}
+
+// show makes what Status shows, from the loop.
+func (f *Fleet) show(now time.Duration) {
+	f.stale.Store(false)
+	s := &Status{Status: f.member.Status(now)}
+	if f.relayed != nil {
+		f.relayed.status(now, s)
 	}
-	f.revive(now)
+	f.status.Store(s)
+	f.shown.Store(int64(now))
 }
 
 // revive brings a replica that has stopped back, where that can be: with an empty disk in place
@@ -408,22 +486,42 @@
 
 func (h *handler) Greet(x member.Hello) {
 	f := (*Fleet)(h)
-	f.post(func() { f.member.Greet(duty.Now(), x) })
+	f.post(func() {
+		f.member.Greet(duty.Now(), x)
+		if f.relayed != nil {
+			f.relayed.greeted[x.Name]++
+			f.relayed.router.Up(duty.Now(), x.Name)
+		}
+	})
 }
 
 func (h *handler) Receive(from string, kind member.Kind, body []byte) {
 	f := (*Fleet)(h)
 	f.post(func() {
-		if err := f.member.Receive(duty.Now(), from, kind, body); err != nil {
-			f.carrier.Counts.Garbled.Add(1)
-			slog.Warn("a frame of the fleet can't be read", "gateway", from, "why", err.Error())
+		if f.relayed != nil && (kind == relay.KindRecord || kind == relay.KindRoutes) {
+			f.relayed.router.FromRelay(duty.Now(), from, kind, body)
+			return
 		}
+		f.receive(duty.Now(), from, kind, body)
 	})
 }
 
+// receive gives the member what another says.
+func (f *Fleet) receive(now time.Duration, from string, kind member.Kind, body []byte) {
+	if err := f.member.Receive(now, from, kind, body); err != nil {
+		f.carrier.Counts.Garbled.Add(1)
+		slog.Warn("a frame of the fleet can't be read", "gateway", from, "why", err.Error())
+	}
+}
+
 func (h *handler) Lost(to string) {
 	f := (*Fleet)(h)
-	f.post(func() { f.member.Lost(duty.Now(), to) })
+	f.post(func() {
+		f.member.Lost(duty.Now(), to)
+		if f.relayed != nil {
+			f.relayed.router.Down(duty.Now(), to)
+		}
+	})
 }
 
 func (h *handler) Snapshot(replica uint64, ok bool) {
@@ -479,8 +577,46 @@
 	f.post(func() { f.member.Want(duty.Now(), name, body) })
 }
 
-// Status is how this gateway stands in the fleet, as of a moment ago.
-func (f *Fleet) Status() *member.Status { return f.status.Load() }
+// Status is how a gateway stands in its fleet.
+type Status struct {
+	*member.Status
+	Relay   *RelayStatus   `json:"relay,omitempty"`   // of a gateway, where there are relays
+	Streams *StreamsStatus `json:"streams,omitempty"` // of a relay
+}
+
+// Status is how this gateway stands in the fleet, as of a moment ago. It is made when it is asked
+// for, by the loop: not to be called from there.
+func (f *Fleet) Status() *Status {
+	if !f.stale.Load() && int64(duty.Now()) < f.shown.Load()+int64(statusEvery) {
+		return f.status.Load()
+	}
+	made := make(chan struct{})
+	wait := time.NewTimer(statusMost)
+	defer wait.Stop()
+	do := func() {
+		if now := duty.Now(); f.stale.Load() || int64(now) >= f.shown.Load()+int64(statusEvery) {
+			f.show(now)
+		}
+		close(made)
+	}
+	select {
+	case f.events <- do:
+		select {
+		case <-made:
+		case <-wait.C:
+		case <-f.ctx.Done():
+		}
+	case <-wait.C: // what is known is better than nothing
+	case <-f.ctx.Done():
+	}
+	return f.status.Load()
+}
+
+// fresh is Status as of now.
+func (f *Fleet) fresh() *Status {
+	f.stale.Store(true)
+	return f.Status()
+}
 
 // handEvery is how often it is looked whether another leads.
 const handEvery = 5 * time.Millisecond
@@ -492,10 +628,10 @@
 	ctx, cancel := context.WithTimeout(f.ctx, most)
 	defer cancel()
 	f.post(func() { f.member.HandOver(duty.Now()) })
-	for f.Status().Role == "leader" && ctx.Err() == nil {
+	for f.fresh().Role == "leader" && ctx.Err() == nil {
 		time.Sleep(handEvery)
 	}
-	if f.Status().Session != 0 {
+	if f.fresh().Session != 0 {
 		f.Do(ctx, lease.Command{Op: lease.Close}) // if it is not heard, the session lapses
 	}
 	f.Close()
--- /dev/null
+++ b/internal/cluster/relays_test.go
@@ -0,0 +1,255 @@
+package cluster
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+
+	"lynxspool/internal/cluster/duty"
+	"lynxspool/internal/cluster/member"
+	"lynxspool/internal/cluster/peer"
+	"lynxspool/internal/cluster/relay"
+	"lynxspool/internal/testkit"
+)
+
+const testKey = "this key is of a test and of nothing else"
+
+// part is a member of a fleet without anything that serves, as it hears the news of one duty.
+type part struct {
+	*Fleet
+	mu   sync.Mutex
+	news []uint64
+}
+
+// relaysOf lays out relays on an address of the loopback that is drawn.
+func relaysOf(t *testing.T, n int) (list []Relay) {
+	t.Helper()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	for port := 20000; len(list) < n; port++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		list = append(list, Relay{Name: fmt.Sprintf("r%d", len(list)+1), Address: ln.Addr().String(), Zone: fmt.Sprintf("z%d", len(list)+1)})
+	}
+	return list
+}
+
+// join starts a part; the owner of the duty "say" tells numbers as they come.
+func join(t *testing.T, name string, relays []Relay, say <-chan uint64) *part {
+	t.Helper()
+	cfg := Config{ID: "f", Name: name, DataDir: filepath.Join(t.TempDir(), "disk"), Key: []byte(testKey), Relays: relays, Zone: "z1"}
+	for _, r := range relays {
+		cfg.First = append(cfg.First, r.Name)
+		if r.Name == name {
+			cfg.Listen, cfg.Zone = r.Address, r.Zone
+		}
+	}
+	f, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &part{Fleet: f}
+	f.Register("say", func(ctx context.Context, h *duty.Hold) {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case n := <-say:
+				f.Tell("", h, n, binary.LittleEndian.AppendUint64(nil, n))
+			}
+		}
+	}, func(n member.News) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.news = append(p.news, binary.LittleEndian.Uint64(n.Body))
+	}, nil)
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(sync.OnceFunc(f.Close))
+	return p
+}
+
+func (p *part) heard() []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]uint64{}, p.news...)
+}
+
+// at is the relay of a gateway.
+func (p *part) at() string { return p.Status().Relay.Name }
+
+// A fleet of relays and gateways, on sockets: all are of it, each hears what an owner tells all,
+// once and in order, and who loses its relay goes to another with the session that it has.
+func TestRelayed(t *testing.T) {
+	relays, say := relaysOf(t, 3), make(chan uint64)
+	var all, gateways []*part
+	for _, r := range relays {
+		all = append(all, join(t, r.Name, relays, say))
+	}
+	for i := range 6 {
+		gateways = append(gateways, join(t, fmt.Sprintf("g%d", i+1), relays, say))
+	}
+	all = append(all, gateways...)
+	for _, p := range all {
+		testkit.Until(t, p.cfg.Name+" has a session", func() bool { return p.Status().Session != 0 })
+	}
+	var n uint64
+	heard := func(parts []*part, least uint64) bool { // all but the owner
+		missing := 0
+		for _, p := range parts {
+			if h := p.heard(); len(h) == 0 || h[len(h)-1] < least {
+				missing++
+			}
+		}
+		return missing <= 1
+	}
+	testkit.Until(t, "all know the owner", func() bool {
+		for _, p := range all {
+			if s := p.Status(); len(s.Duties) != 1 || s.Duties[0].Owner == "" {
+				return false
+			}
+		}
+		return true
+	})
+	for n < 100 {
+		n++
+		say <- n
+	}
+	testkit.Until(t, "all but the owner have heard", func() bool { return heard(all, n) })
+	for _, p := range all {
+		for i, x := range p.heard() {
+			if x != uint64(i+1) {
+				t.Fatalf("%s heard %v", p.cfg.Name, p.heard())
+			}
+		}
+	}
+	streams := 0
+	for _, p := range all[:3] {
+		streams += p.Status().Streams.Streams
+	}
+	if streams != len(gateways) {
+		t.Errorf("%d streams of %d gateways", streams, len(gateways))
+	}
+	was := map[*part]uint64{}
+	for _, p := range gateways {
+		was[p] = p.Status().Session
+	}
+	lost := gateways[0].at()
+	var left []*part
+	for _, p := range all {
+		if p.cfg.Name == lost {
+			p.Close()
+		} else {
+			left = append(left, p)
+		}
+	}
+	for _, p := range gateways {
+		testkit.Until(t, p.cfg.Name+" is at another relay", func() bool { at := p.at(); return at != "" && at != lost })
+	}
+	testkit.Until(t, "a leader has confirmed all", func() bool {
+		for _, p := range gateways {
+			if s := p.Status(); s.Leader == lost || s.Leader == "" {
+				return false
+			}
+		}
+		return true
+	})
+	for _, p := range gateways {
+		if s := p.Status().Session; s != was[p] {
+			t.Errorf("%s had session %d, and has %d", p.cfg.Name, was[p], s)
+		}
+	}
+	testkit.Until(t, "the duty has an owner who is there", func() bool {
+		for _, p := range left {
+			if s := p.Status(); len(s.Duties) != 1 || s.Duties[0].Owner == "" || s.Duties[0].Owner == lost {
+				return false
+			}
+		}
+		return true
+	})
+	// What was told to one that was just moving is lost; what comes behind it is not.
+	least := n + 1
+	testkit.Until(t, "all that are left hear the owner again", func() bool {
+		n++
+		say <- n
+		return heard(left, least)
+	})
+	for _, p := range left {
+		if !slices.IsSorted(p.heard()) || len(slices.Compact(p.heard())) != len(p.heard()) {
+			t.Errorf("%s heard %v", p.cfg.Name, p.heard())
+		}
+	}
+}
+
+// Who knows the key and says in its join that it is another is not taken for it, and a second
+// gateway under a name gets no stream while the first is there.
+func TestRelayPretenders(t *testing.T) {
+	relays, say := relaysOf(t, 3), make(chan uint64)
+	r := join(t, "r1", relays, say) // in the zone of all gateways
+	join(t, "r2", relays, say)
+	join(t, "r3", relays, say)
+	g := join(t, "g1", relays, say)
+	testkit.Until(t, "g1 has a session", func() bool { return g.Status().Session != 0 })
+	hello := *r.hello.Load()
+	for _, c := range []struct {
+		what        string
+		name, says  string
+		replica, as uint64
+	}{
+		{"a name in the join that is not the hello's", "g9", "g1", 9, 9},
+		{"another's replica", "g1", "g1", 9, g.Status().Disk},
+		{"a relay's name", "r1", "r1", 9, 9},
+	} {
+		garbled, refused := r.carrier.Counts.Garbled.Load(), r.carrier.Counts.Refused.Load()
+		to := &ends{why: make(chan error, 1)}
+		h := hello
+		h.Name, h.Replica = c.name, c.replica
+		x := peer.New(peer.Config{
+			Name: c.name, Key: []byte(testKey), Hello: func() member.Hello { return h }, Judge: func(*member.Hello) string { return "" },
+			Streams: to, JudgeStream: func(*member.Hello) string { return "" },
+		}, nil, to)
+		x.Start()
+		x.Dial("r1", relays[0].Address, relay.KindJoin, asJSON(relay.Join{Name: c.says, Replica: c.as, Epoch: 1 << 60}))
+		if err := <-to.why; err == nil || to.frames > 0 {
+			t.Errorf("%s: %v, %d frames", c.what, err, to.frames)
+		}
+		testkit.Until(t, c.what+" is counted", func() bool { return r.carrier.Counts.Garbled.Load()+r.carrier.Counts.Refused.Load() > garbled+refused })
+		x.Close()
+	}
+	was := g.Status().Relay
+	second := join(t, "g1", relays, say)
+	testkit.Until(t, "the second is refused", func() bool {
+		n := uint64(0)
+		for _, k := range second.Status().Relay.Ends {
+			n += k
+		}
+		return n > 0
+	})
+	if now := g.Status().Relay; second.at() != "" || now.Epoch != was.Epoch {
+		t.Errorf("the second is at %q, the first at %q by epoch %x, before %x", second.at(), now.Name, now.Epoch, was.Epoch)
+	}
+	g.Close()
+	testkit.Until(t, "the second takes the place of the first", func() bool { return second.at() != "" && second.Status().Session != 0 })
+}
+
+// ends is a side that waits for the end of a stream.
+type ends struct {
+	frames int
+	why    chan error
+}
+
+func (e *ends) Greet(member.Hello)                            {}
+func (e *ends) Receive(string, member.Kind, []byte)           {}
+func (e *ends) Lost(string)                                   {}
+func (e *ends) Snapshot(uint64, bool)                         {}
+func (e *ends) Frame(_ *peer.Stream, _ member.Kind, _ []byte) { e.frames++ }
+func (e *ends) Ended(_ *peer.Stream, why error)               { e.why <- why }
--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -130,7 +130,8 @@
 	if !ok {
 		return
 	}
-	within := checks.Within(len(c.f.c.Status().Members))
+	s := c.f.c.Status()
+	within := checks.Within(max(len(s.Members), s.Sessions)) // with relays only the count is known here
 	for _, name := range names[:min(len(names), checks.HostsMost)] {
 		c.hints.Add(1)
 		p.Hint(name, within)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,10 @@
 	for _, p := range a.Fleet.Peers {
 		cfg.Peers = append(cfg.Peers, cluster.Peer(p))
 	}
+	for _, r := range a.Fleet.Relays {
+		cfg.Relays = append(cfg.Relays, cluster.Relay(r))
+	}
+	cfg.Region = a.Fleet.Region
 	c, err := cluster.New(cfg)
 	if err != nil {
 		return nil, err
@@ -50,7 +54,9 @@
 	f := &Fleet{c: c, lists: map[string]*list{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	c.OnWords = f.hearWords
-	c.Register(housekeeping, f.keepHouse, nil, nil)
+	if len(a.Fleet.Relays) == 0 || a.Fleet.IsRelay(a.Name) { // a gateway with a relay knows no other
+		c.Register(housekeeping, f.keepHouse, nil, nil)
+	}
 	for _, p := range a.Pools {
 		if p.Check != "" {
 			k := newCheck(f, p.Name, p.Check)
@@ -67,6 +73,9 @@
 	return f, nil
 }
 
+// Status is how this gateway stands in the fleet.
+func (f *Fleet) Status() *cluster.Status { return f.c.Status() }
+
 // Start joins the fleet.
 func (f *Fleet) Start() error { return f.c.Start() }
 
