Processes with relays: killed, stopped, cut one way, restarted, none at all

Relays were seen in simulation and on sockets within one process, not as processes of the program under load. Options.Relays makes the first gateways of a nemesis fleet relays that serve nobody; the others dial them through the same faulty ways. Those were called relays too: they are links now (a rename of names only), and the way back of a link can be cut, as a stream is for both ways. Whole asks for a stream of each gateway, for all routes at all relays, and of what gateways know only what they can.

TestRelayKilled (a relay that does not lead, then the one that does): its gateways are with another, no gateway's session lapses, no duty of a gateway changes hands, clients see nothing; status, metrics and dunemoorctl say where all are. TestRelayCutOneWay has a relay that hears nobody, is heard by nobody, or by no other relay; TestRelaysRestarted restarts each and then has none. Not found by any test here: member.Moved not called (the renewal comes within its second anyway), and what a repair covers: Up not told at a greeting, Left not told of an end (the sums of the relays and the silence of the stream).

--- a/internal/nemesis/fleet.go
+++ b/internal/nemesis/fleet.go
@@ -31,6 +31,7 @@
 	Nodes    int // stand-in hosts, told by a stand-in of discovery
 	Seed     uint64
 	Env      []string
+	Relays   int  // the first so many gateways are relays, which serve nobody; 0: all are connected with all
 	NoCheck  bool // nobody tries hosts that are down for the others
 }
 
@@ -46,6 +47,7 @@
 	Commit  uint64 `json:"commit"`
 	Applied uint64 `json:"applied"`
 	Session uint64 `json:"session"`
+	Expires int64  `json:"expires_in_ms"`
 	Members []struct {
 		Name    string `json:"name"`
 		Session uint64 `json:"session"`
@@ -61,10 +63,20 @@
 		Name    string `json:"name"`
 		Learner bool   `json:"learner"`
 	} `json:"keepers"`
-	Words []struct {
+	Sessions int `json:"sessions"`
+	Words    []struct {
 		Pool string `json:"pool"`
 		Host string `json:"host"`
 	} `json:"words"`
+	Relay struct {
+		Name  string `json:"name"`
+		Moves uint64 `json:"moves"`
+	} `json:"relay"`
+	Streams struct {
+		Streams int            `json:"streams"`
+		Routes  int            `json:"routes"`
+		Relays  map[string]int `json:"relays"`
+	} `json:"streams"`
 }
 
 // Token is that of a duty as a gateway knows it; 0: it knows of none.
@@ -98,7 +110,7 @@
 	Gateways []*Gateway
 	Hosts    *standin.Fleet
 	History  *History
-	relays   map[[2]int]*Relay
+	links    map[[2]int]*Link
 	log      *os.File
 	client   http.Client
 }
@@ -128,9 +140,9 @@
 	return list, nil
 }
 
-// New lays out a fleet: files, relays, hosts and discovery. No gateway is started.
+// New lays out a fleet: files, links, hosts and discovery. No gateway is started.
 func New(o Options) (*Fleet, error) {
-	f := &Fleet{Options: o, relays: map[[2]int]*Relay{}, client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f := &Fleet{Options: o, links: map[[2]int]*Link{}, client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var err error
 	if f.log, err = os.Create(filepath.Join(o.Dir, "log")); err != nil {
 		return nil, err
@@ -156,10 +168,10 @@
 	}
 	for i, g := range f.Gateways {
 		for k, other := range f.Gateways {
-			if i == k {
+			if i == k || k >= o.Relays && o.Relays > 0 {
 				continue
 			}
-			if f.relays[[2]int{i, k}], err = NewRelay(other.fleet); err != nil {
+			if f.links[[2]int{i, k}], err = NewLink(other.fleet); err != nil {
 				return nil, err
 			}
 		}
@@ -174,33 +186,50 @@
 func (f *Fleet) text(i int) string {
 	g := f.Gateways[i]
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = %q\nadmin = %q\n[[listener]]\naddress = %q\n", g.Name, g.admin, g.listen)
-	for _, c := range standin.Classes() {
-		effect := [...]string{"safe", "keyed", "unsafe"}[c.Effect]
-		fmt.Fprintf(&b, "[[class]]\nname = %q\neffect = %q\naim = \"2s\"\ndeadline = \"10s\"\nworth = 1\n", c.Name, effect)
-		if c.Window > 0 {
-			fmt.Fprintf(&b, "group = \"cell\"\nwindow = %q\n", c.Window)
-		}
+	fmt.Fprintf(&b, "name = %q\nadmin = %q\n", g.Name, g.admin)
+	if i >= f.Relays {
+		f.serving(&b, g)
 	}
-	check := "check = \"/alive\"\n"
-	if f.NoCheck {
-		check = ""
-	}
-	fmt.Fprintf(&b, "[[pool]]\nname = \"calendar\"\ndiscovery = %q\n"+check+"[[route]]\nname = \"all\"\npool = \"calendar\"\n", f.Hosts.Discovery.Addr())
 	var first []string
 	for _, o := range f.Gateways[:f.Keepers] {
 		first = append(first, fmt.Sprintf("%q", o.Name))
 	}
-	fmt.Fprintf(&b, "[fleet]\nid = \"trial\"\nlisten = %q\ndata_dir = %q\nkey_file = %q\nfirst = [%s]\n",
-		g.fleet, g.dir, filepath.Join(f.Dir, "key"), strings.Join(first, ", "))
+	fmt.Fprintf(&b, "[fleet]\nid = \"trial\"\ndata_dir = %q\nkey_file = %q\nfirst = [%s]\n",
+		g.dir, filepath.Join(f.Dir, "key"), strings.Join(first, ", "))
+	if i < f.Relays || f.Relays == 0 {
+		fmt.Fprintf(&b, "listen = %q\n", g.fleet)
+	}
 	for k, o := range f.Gateways {
-		if k != i {
-			fmt.Fprintf(&b, "[[fleet.peer]]\nname = %q\naddress = %q\n", o.Name, f.relays[[2]int{i, k}].Addr())
+		switch link := f.links[[2]int{i, k}]; {
+		case f.Relays > 0 && i == k && i < f.Relays:
+			fmt.Fprintf(&b, "[[fleet.relay]]\nname = %q\naddress = %q\n", o.Name, o.fleet)
+		case link == nil:
+		case f.Relays > 0:
+			fmt.Fprintf(&b, "[[fleet.relay]]\nname = %q\naddress = %q\n", o.Name, link.Addr())
+		default:
+			fmt.Fprintf(&b, "[[fleet.peer]]\nname = %q\naddress = %q\n", o.Name, link.Addr())
 		}
 	}
 	return b.String()
 }
 
+// serving writes what a gateway's file has for requests.
+func (f *Fleet) serving(b *strings.Builder, g *Gateway) {
+	fmt.Fprintf(b, "[[listener]]\naddress = %q\n", g.listen)
+	for _, c := range standin.Classes() {
+		effect := [...]string{"safe", "keyed", "unsafe"}[c.Effect]
+		fmt.Fprintf(b, "[[class]]\nname = %q\neffect = %q\naim = \"2s\"\ndeadline = \"10s\"\nworth = 1\n", c.Name, effect)
+		if c.Window > 0 {
+			fmt.Fprintf(b, "group = \"cell\"\nwindow = %q\n", c.Window)
+		}
+	}
+	check := "check = \"/alive\"\n"
+	if f.NoCheck {
+		check = ""
+	}
+	fmt.Fprintf(b, "[[pool]]\nname = \"calendar\"\ndiscovery = %q\n"+check+"[[route]]\nname = \"all\"\npool = \"calendar\"\n", f.Hosts.Discovery.Addr())
+}
+
 // Start starts a gateway's process.
 func (g *Gateway) Start() error {
 	g.mu.Lock()
@@ -412,12 +441,17 @@
 		what = "cut"
 	}
 	f.History.fault(what, from.Name, to.Name)
-	f.relays[[2]int{slices.Index(f.Gateways, from), slices.Index(f.Gateways, to)}].Cut(on)
+	if l := f.Link(from, to); l != nil {
+		l.Cut(on)
+	} else if l := f.Link(to, from); l != nil { // a relay to a gateway, by that one's stream
+		l.CutBack(on)
+	}
 }
 
-// Relay is the way from one gateway to another.
-func (f *Fleet) Relay(from, to *Gateway) *Relay {
-	return f.relays[[2]int{slices.Index(f.Gateways, from), slices.Index(f.Gateways, to)}]
+// Link is the way from one gateway to another; nil: there is none in a fleet with relays, but the
+// way back of a stream.
+func (f *Fleet) Link(from, to *Gateway) *Link {
+	return f.links[[2]int{slices.Index(f.Gateways, from), slices.Index(f.Gateways, to)}]
 }
 
 // Alone cuts a gateway off, both ways or one.
@@ -435,8 +469,8 @@
 // Heal ends all faults and starts who is down.
 func (f *Fleet) Heal() error {
 	f.History.fault("heal all")
-	for _, r := range f.relays {
-		r.Heal()
+	for _, l := range f.links {
+		l.Heal()
 	}
 	for _, g := range f.Gateways {
 		if err := g.Continue(); err != nil {
@@ -474,7 +508,8 @@
 
 // Whole says whether the fleet is as it should be: all have a session and the same view of who
 // has one and who owns what, each duty has an owner, and as many as at first hold the record, each
-// on the disk that it has now.
+// on the disk that it has now. In a fleet with relays each gateway has a stream, of the others it
+// knows none, and all relays know where all are.
 func (f *Fleet) Whole() bool {
 	var all []*Status
 	own := map[string]*Status{}
@@ -489,12 +524,21 @@
 		all = append(all, s)
 		own[g.Name] = s
 	}
-	for _, s := range all {
-		if len(s.Members) != len(all) || len(s.Duties) == 0 || len(s.Keepers) != f.Keepers || s.Leader != all[0].Leader || len(s.Duties) != len(all[0].Duties) {
+	for i, s := range all {
+		gateway := f.Relays > 0 && i >= f.Relays
+		switch {
+		case gateway && (s.Relay.Name == "" || s.Sessions != len(all)):
+			return false
+		case !gateway && len(s.Members) != len(all):
+			return false
+		case !gateway && f.Relays > 0 && (s.Streams.Routes != len(all)-f.Relays || len(s.Streams.Relays) != f.Relays):
+			return false
+		}
+		if len(s.Duties) == 0 || len(s.Keepers) != f.Keepers || s.Leader != all[0].Leader || len(s.Duties) != len(all[0].Duties) {
 			return false
 		}
 		for _, m := range s.Members {
-			if m.Session != own[m.Name].Session {
+			if own[m.Name] == nil || m.Session != own[m.Name].Session {
 				return false
 			}
 		}
@@ -554,8 +598,8 @@
 	for _, g := range f.Gateways {
 		g.Kill()
 	}
-	for _, r := range f.relays {
-		r.Close()
+	for _, l := range f.links {
+		l.Close()
 	}
 	if f.Hosts != nil {
 		f.Hosts.Close()
--- a/internal/nemesis/link.go
+++ b/internal/nemesis/link.go
@@ -2,21 +2,22 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
 )
 
-// Relay carries what one gateway sends to another, in user space, and can fail. Each way between
-// two gateways has its own: a gateway connects to others through the relays that its file names,
-// and sends on the connections that it has opened.
-type Relay struct {
+// Link carries what one gateway sends to another, in user space, and can fail. Each way between
+// two gateways has its own: a gateway connects to others through the links that its file names,
+// and sends on the connections that it has opened. A stream, from a gateway to a relay of the fleet,
+// is for both ways: the way back of its link can be cut too.
+type Link struct {
 	ln net.Listener
 	to string
 
 	mu    sync.Mutex
 	cut   bool          // bytes are held back, connections stay
+	back  bool          // cut is also what comes back
 	delay time.Duration // of each piece
 	tear  bool          // the next piece ends in its midst, and with it the connection
 	conns map[net.Conn]struct{}
@@ -24,8 +25,8 @@
 	ended bool
 }
 
-// NewRelay starts one to an address, which must be of this machine.
-func NewRelay(to string) (*Relay, error) {
+// NewLink starts one to an address, which must be of this machine.
+func NewLink(to string) (*Link, error) {
 	if host, _, err := net.SplitHostPort(to); err != nil || !net.ParseIP(host).IsLoopback() {
 		return nil, fmt.Errorf("nemesis: %q is no loopback address", to)
 	}
@@ -33,104 +34,121 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{ln: ln, to: to, conns: map[net.Conn]struct{}{}, wake: make(chan struct{})}
-	go r.accept()
-	return r, nil
+	l := &Link{ln: ln, to: to, conns: map[net.Conn]struct{}{}, wake: make(chan struct{})}
+	go l.accept()
+	return l, nil
 }
 
 // Addr is where it listens.
-func (r *Relay) Addr() string { return r.ln.Addr().String() }
+func (l *Link) Addr() string { return l.ln.Addr().String() }
 
-func (r *Relay) change(do func()) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (l *Link) change(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	do()
-	close(r.wake)
-	r.wake = make(chan struct{})
+	close(l.wake)
+	l.wake = make(chan struct{})
 }
 
 // Cut holds back all that goes this way, or lets it go on. Connections are not told: a machine
 // that is cut off says nothing.
-func (r *Relay) Cut(on bool) { r.change(func() { r.cut = on }) }
+func (l *Link) Cut(on bool) { l.change(func() { l.cut = on }) }
+
+// CutBack is Cut for what comes back by the same connections.
+func (l *Link) CutBack(on bool) { l.change(func() { l.back = on }) }
 
 // Delay holds each piece back for so long.
-func (r *Relay) Delay(d time.Duration) { r.change(func() { r.delay = d }) }
+func (l *Link) Delay(d time.Duration) { l.change(func() { l.delay = d }) }
 
 // Tear ends the next piece, and its connection, in its midst.
-func (r *Relay) Tear() { r.change(func() { r.tear = true }) }
+func (l *Link) Tear() { l.change(func() { l.tear = true }) }
 
 // Heal ends all faults.
-func (r *Relay) Heal() { r.change(func() { r.cut, r.delay, r.tear = false, 0, false }) }
+func (l *Link) Heal() { l.change(func() { l.cut, l.back, l.delay, l.tear = false, false, 0, false }) }
 
 // Close ends it with all its connections.
-func (r *Relay) Close() {
-	r.change(func() { r.ended = true })
-	r.ln.Close()
-	r.mu.Lock()
-	for c := range r.conns {
+func (l *Link) Close() {
+	l.change(func() { l.ended = true })
+	l.ln.Close()
+	l.mu.Lock()
+	for c := range l.conns {
 		c.Close()
 	}
-	r.mu.Unlock()
+	l.mu.Unlock()
 }
 
-func (r *Relay) accept() {
+func (l *Link) accept() {
 	for {
-		c, err := r.ln.Accept()
+		c, err := l.ln.Accept()
 		if err != nil {
 			return
 		}
-		go r.carry(c)
+		go l.carry(c)
 	}
 }
 
-func (r *Relay) keep(c net.Conn) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.ended {
+func (l *Link) keep(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
 		c.Close()
 		return false
 	}
-	r.conns[c] = struct{}{}
+	l.conns[c] = struct{}{}
 	return true
 }
 
-func (r *Relay) drop(c net.Conn) {
+func (l *Link) drop(c net.Conn) {
 	c.Close()
-	r.mu.Lock()
-	delete(r.conns, c)
-	r.mu.Unlock()
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
 }
 
-func (r *Relay) carry(c net.Conn) {
-	if !r.keep(c) {
+func (l *Link) carry(c net.Conn) {
+	if !l.keep(c) {
 		return
 	}
-	defer r.drop(c)
-	if !r.pass() { // a new connection is one way of being heard
+	defer l.drop(c)
+	if !l.pass(false) { // a new connection is one way of being heard
 		return
 	}
-	d, err := net.DialTimeout("tcp", r.to, time.Second)
-	if err != nil || !r.keep(d) {
+	d, err := net.DialTimeout("tcp", l.to, time.Second)
+	if err != nil || !l.keep(d) {
 		return
 	}
-	defer r.drop(d)
+	defer l.drop(d)
 	// The answers of a handshake go back by the same connection, and are let through: what is cut
-	// is what the one sends, and without it there is no answer.
+	// is what the one sends, and without it there is no answer. Of a stream all goes back there.
 	go func() {
-		io.Copy(c, d)
-		r.drop(c)
+		defer l.drop(c)
+		b := make([]byte, 16<<10)
+		for {
+			n, err := d.Read(b)
+			if n > 0 && !l.pass(true) {
+				return
+			}
+			if n > 0 {
+				if _, err := c.Write(b[:n]); err != nil {
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
 	}()
 	b := make([]byte, 16<<10)
 	for {
 		n, err := c.Read(b)
 		if n > 0 {
-			if !r.pass() {
+			if !l.pass(false) {
 				return
 			}
-			r.mu.Lock()
-			torn := r.tear
-			r.tear = false
-			r.mu.Unlock()
+			l.mu.Lock()
+			torn := l.tear
+			l.tear = false
+			l.mu.Unlock()
 			if torn {
 				n /= 2
 			}
@@ -144,18 +162,21 @@
 	}
 }
 
-// pass waits until something may go on; false: the relay has ended.
-func (r *Relay) pass() bool {
-	r.mu.Lock()
-	delay := r.delay
-	r.mu.Unlock()
-	if delay > 0 {
+// pass waits until something may go on; false: the link has ended.
+func (l *Link) pass(back bool) bool {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if delay > 0 && !back {
 		time.Sleep(delay)
 	}
 	for {
-		r.mu.Lock()
-		cut, ended, wake := r.cut, r.ended, r.wake
-		r.mu.Unlock()
+		l.mu.Lock()
+		cut, ended, wake := l.cut, l.ended, l.wake
+		if back {
+			cut = l.back
+		}
+		l.mu.Unlock()
 		if ended || !cut {
 			return !ended
 		}
--- a/internal/nemesis/run.go
+++ b/internal/nemesis/run.go
@@ -217,22 +217,22 @@
 		return apart(false, true), nil
 	case "slow":
 		for _, o := range f.Gateways {
-			if o != g {
-				f.Relay(g, o).Delay(50 * time.Millisecond)
+			if l := f.Link(g, o); l != nil {
+				l.Delay(50 * time.Millisecond)
 			}
 		}
 		return func() error {
 			for _, o := range f.Gateways {
-				if o != g {
-					f.Relay(g, o).Delay(0)
+				if l := f.Link(g, o); l != nil {
+					l.Delay(0)
 				}
 			}
 			return nil
 		}, nil
 	case "tear":
 		for _, o := range f.Gateways {
-			if o != g {
-				f.Relay(g, o).Tear()
+			if l := f.Link(g, o); l != nil {
+				l.Tear()
 			}
 		}
 		return nil, nil
