lab scale relays-lost: a relay that stands still, and who has none at last

A relay that is killed ends its connections, and its gateways know at once; one whose machine vanishes says nothing. The part stops one by SIGSTOP for two sessions and lets it go on, and waits until no gateway is without a relay before it counts. The duties part counts pools.

--- a/cmd/lab/scale_fleet.go
+++ b/cmd/lab/scale_fleet.go
@@ -59,7 +59,7 @@
 		},
 	})
 	registerScale(&scalePart{
-		Name: "duties", By: "duty", Sizes: []int{10, 25, 50, 100, 200}, Small: []int{2, 4}, Takes: "1 min",
+		Name: "duties", By: "pool", Sizes: []int{10, 25, 50, 100, 200}, Small: []int{2, 4}, Takes: "1 min",
 		About: "twelve hollow gateways at rest, by the number of pools: each has its list of hosts told by an owner",
 		Run:   dutiesPart,
 	})
@@ -352,7 +352,7 @@
 const dutiesFleet = 12
 
 func dutiesPart(ctx context.Context, e *scaleEnv, sizes []int) (*scale.Report, error) {
-	s := &seriesBy{by: "duty"}
+	s := &seriesBy{by: "pool"}
 	r := &scale.Report{}
 	settle, count := fleetSpan(e)
 	n := dutiesFleet
@@ -394,7 +394,7 @@
 			lead := f.Leader()
 			s.add("leader", "CPU ms/s", 0.5, pools, c.of[lead].CPU)
 			s.add("leader", "bytes/s", 20, pools, c.of[lead].PerSecond(c.of[lead].Bytes()))
-			r.Notes = append(r.Notes, fmt.Sprintf("%d duties on %d gateways, %d with the one that owns most", pools, n, most))
+			r.Notes = append(r.Notes, fmt.Sprintf("%d lists of hosts told on %d gateways, %d duties with the one that owns most", pools, n, most))
 			return nil
 		}()
 		if err != nil {
@@ -403,7 +403,7 @@
 	}
 	r.Series = s.list
 	r.Breaks = append(r.Breaks, s.passes("gateway (median)", "bytes/s", bytesAsked, "internal/fleet: listening.look, a beat of each list to each gateway every 2 s (lists.BeatEvery)")...)
-	r.Breaks = append(r.Breaks, scale.Break{By: "duty", Size: lease.DutiesMost, What: "the record takes no further duty", Where: "internal/cluster/lease: DutiesMost"})
+	r.Breaks = append(r.Breaks, scale.Break{By: "pool", Size: lease.DutiesMost, What: "the record takes no further duty", Where: "internal/cluster/lease: DutiesMost"})
 	return r, nil
 }
 
--- a/cmd/lab/scale_fleet_test.go
+++ b/cmd/lab/scale_fleet_test.go
@@ -86,6 +86,30 @@
 				}
 			}
 		},
+		"relays": func(t *testing.T, r *scale.Report, sizes []int) {
+			for _, n := range sizes {
+				// One stream, whatever the size.
+				if x := value(t, r, "gateway", "connections", float64(n)); x != 1 {
+					t.Errorf("%d gateways: one has %v connections", n, x)
+				}
+				half, all := value(t, r, "an operator's word", "s until half of the gateways go by it", float64(n)), value(t, r, "an operator's word", "s until the last", float64(n))
+				if half <= 0 || all < half {
+					t.Errorf("%d gateways: a word at half after %v s, at the last after %v", n, half, all)
+				}
+			}
+		},
+		"relays-lost": func(t *testing.T, r *scale.Report, sizes []int) {
+			for _, n := range sizes {
+				if x := value(t, r, "all relays restarted", "gateways that moved", float64(n)); x != float64(n) {
+					t.Errorf("%v of %d gateways came back to relays that were all restarted", x, n)
+				}
+			}
+			for _, note := range r.Notes {
+				if !strings.Contains(note, "without a relay at last 0;") {
+					t.Error(note)
+				}
+			}
+		},
 		"record": func(t *testing.T, r *scale.Report, sizes []int) {
 			for _, n := range sizes {
 				if x := value(t, r, "a whole view", "KB of JSON", float64(n)); x <= 0 {
--- a/cmd/lab/scale_relays.go
+++ b/cmd/lab/scale_relays.go
@@ -19,7 +19,7 @@
 	})
 	registerScale(&scalePart{
 		Name: "relays-lost", By: "gateway", Sizes: []int{300, 1000, 2000, 4700}, Small: []int{6}, Takes: "5 min",
-		About: "the same: a relay is killed, half of them, all of them; until their gateways are with others",
+		About: "the same: a relay is killed, one stands still, half are killed, all restarted; until their gateways are with others",
 		Run:   relaysLost,
 	})
 }
@@ -185,11 +185,17 @@
 	return list, without, nil
 }
 
+// standsStill is a relay that is stopped, so that its connections do not end.
+const standsStill = "a relay stands still"
+
 func relaysLost(ctx context.Context, e *scaleEnv, sizes []int) (*scale.Report, error) {
 	s := &seriesBy{by: "gateway", asked: gatewaysAsked}
 	r := &scale.Report{}
 	settle, _ := fleetSpan(e)
 	after := 6 * time.Second // two sessions: whoever lapses has by then
+	if e.Small {
+		after = time.Second
+	}
 	for _, n := range sizes {
 		err := func() error {
 			f, end, err := relayFleet(ctx, e, n)
@@ -216,13 +222,22 @@
 			for _, fault := range []struct {
 				name string
 				list []*hollow.Process
-			}{{"a relay killed", list[:1]}, {"half of the relays killed", list[:min(len(list), f.Relays/2)]}, {"all relays restarted", f.Processes[:f.Relays]}} {
+			}{
+				{"a relay killed", list[:1]}, {standsStill, list[:1]}, {"half of the relays killed", list[:min(len(list), f.Relays/2)]},
+				{"all relays restarted", f.Processes[:f.Relays]},
+			} {
 				stop := busiest()
 				began := time.Now()
+				still, all := fault.name == standsStill, len(fault.list) == f.Relays
 				for _, p := range fault.list {
+					if still {
+						if err := p.Stop(); err != nil {
+							return err
+						}
+						continue
+					}
 					p.Kill()
 				}
-				all := len(fault.list) == f.Relays
 				if all {
 					for _, p := range fault.list {
 						if err := p.Start(ctx); err != nil {
@@ -236,12 +251,22 @@
 				if err := sleep(ctx, after); err != nil {
 					return err
 				}
+				if still {
+					for _, p := range fault.list {
+						if err := p.Continue(); err != nil {
+							return err
+						}
+					}
+				}
 				if err := f.UntilWhole(ctx, wholeMost); err != nil {
 					return fmt.Errorf("%s: %w", fault.name, err)
 				}
 				whole := time.Since(began)
 				most := stop()
 				times, without, err := joined(f, began)
+				for ; err == nil && without > 0 && time.Since(began) < wholeMost; times, without, err = joined(f, began) {
+					time.Sleep(time.Second)
+				}
 				if err != nil {
 					return err
 				}
@@ -252,8 +277,8 @@
 				s.add(fault.name, "s, the last", 0.01, n, part(times, 1))
 				s.add(fault.name, "sessions lapsed", 1, n, float64(lapsed))
 				s.add(fault.name, "KB on the loopback in the busiest second", 1, n, most/1000)
-				r.Notes = append(r.Notes, fmt.Sprintf("%d gateways, %s (%d): seen whole %.1f s after it, looked for from %v on; without a relay then %d; streams %s", n, fault.name, len(fault.list), whole.Seconds(), after, without, spread(f)))
-				if all {
+				r.Notes = append(r.Notes, fmt.Sprintf("%d gateways, %s (%d): seen whole %.1f s after it, looked for from %v on; without a relay at last %d; streams %s", n, fault.name, len(fault.list), whole.Seconds(), after, without, spread(f)))
+				if all || still {
 					continue
 				}
 				for _, p := range fault.list {
--- a/internal/scale/hollow/fleet.go
+++ b/internal/scale/hollow/fleet.go
@@ -285,6 +285,12 @@
 	}
 }
 
+// Stop has the process stand still, as one whose machine has gone does to others; Continue ends that.
+func (p *Process) Stop() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Continue has a process go on that stands still.
+func (p *Process) Continue() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
 // Real says whether it is a process of the program.
 func (p *Process) Real() bool { return p.first < p.f.Options.Real }
 
