lab scale: small sizes of the fleet's parts run beside each other

Each has a fleet, an address of the loopback and a directory of its own; nothing that is asserted is of the whole machine.

--- a/cmd/lab/scale_fleet_test.go
+++ b/cmd/lab/scale_fleet_test.go
@@ -126,6 +126,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel() // they mostly wait
 			p := scaleParts[name]
 			if p == nil {
 				t.Fatal("there is no such part")
