--- a/cmd/lab/scale_process.go
+++ b/cmd/lab/scale_process.go
@@ -675,6 +675,10 @@
 		}
 		began = time.Now()
 		for i := range requests {
+			if time.Since(began) > 2*time.Second {
+				requests = i
+				break
+			}
 			now += 100 * time.Microsecond
 			id := lynxspool.RequestID(i + 1)
 			b.Request(now, lynxspool.Request{ID: id, Left: 10 * time.Second})
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -3,6 +3,7 @@
 package capacity
 
 import (
+	"encoding/json"
 	"fmt"
 	"go/ast"
 	"go/parser"
@@ -10,6 +11,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"unicode"
 )
 
 // Table is one of a page's: the cells of its head in lower case, and its rows.
@@ -146,20 +148,73 @@
 	return math.Abs(shown-exact) <= near*math.Abs(exact)+1e-12
 }
 
-// Slope is a measured line: what a part costs by a size.
+// Slope is what was measured of a part by its size, with the line through it.
 type Slope struct {
-	Name             string
-	Slope, Intercept float64
-	Largest          float64 // size that was measured
-	Line             bool
+	Name                    string
+	Slope, Error, Intercept float64 // error: the slope's standard error
+	Shape                   string  // "line", "flat"; of any other there is no product
+	Reach                   float64 // the size asked for over the largest measured
+	Largest                 float64 // what was measured at the largest size
+}
+
+// line says whether products of the slope mean anything.
+func (s *Slope) line() bool { return s.Shape == "line" || s.Shape == "flat" }
+
+// Measured reads what `lab scale --json` wrote. A slope's name is made of part, series and unit, in
+// lower case and with _ for whatever is no letter or digit: mesh_member_bytes_s.
+func Measured(report []byte) (list []Slope, err error) {
+	var parts []struct {
+		Part   string `json:"part"`
+		Series []struct {
+			Name   string `json:"name"`
+			Unit   string `json:"unit"`
+			Points []struct {
+				Size  float64 `json:"size"`
+				Value float64 `json:"value"`
+			} `json:"points"`
+			Fit *struct {
+				Slope     float64 `json:"slope"`
+				Error     float64 `json:"slope_error"`
+				Intercept float64 `json:"intercept"`
+				Shape     string  `json:"shape"`
+				Reach     float64 `json:"reach"`
+			} `json:"fit"`
+		} `json:"series"`
+	}
+	if err := json.Unmarshal(report, &parts); err != nil {
+		return nil, err
+	}
+	for _, p := range parts {
+		for _, s := range p.Series {
+			x := Slope{Name: slug(p.Part + " " + s.Name + " " + s.Unit), Shape: "not fitted"}
+			if f := s.Fit; f != nil {
+				x.Slope, x.Error, x.Intercept, x.Shape, x.Reach = f.Slope, f.Error, f.Intercept, f.Shape, f.Reach
+			}
+			size := math.Inf(-1)
+			for _, q := range s.Points {
+				if q.Size > size {
+					size, x.Largest = q.Size, q.Value
+				}
+			}
+			list = append(list, x)
+		}
+	}
+	return list, nil
+}
+
+// slug makes a name for formulas.
+func slug(text string) string {
+	words := strings.FieldsFunc(strings.ToLower(text), func(r rune) bool { return !unicode.IsLetter(r) && !unicode.IsDigit(r) })
+	return strings.Join(words, "_")
 }
 
 // Check works the page out again, against the slopes as they were measured, and returns what does
 // not agree, a line each.
 //
 // A table with the columns "name" and "value" gives inputs. One with "name", "slope" and
-// "intercept" has slopes: each must be a measured one, with its figures; a formula knows it as
-// name, its intercept as name_0. One with "formula" and "product" has products; with "allowed" and
+// "intercept" has slopes: each must be a measured one, with its figures ("error", "shape" and
+// "reach" too, where there are such columns); a formula knows it as name, its intercept as name_0
+// and what was measured at the largest size as name_most; what is no line has name_most only. One with "formula" and "product" has products; with "allowed" and
 // "verdict" too, the verdict must be "holds" or "broken" as the product is under or over. One with
 // "formula" and "breaks at" ranks: its rows grow.
 func Check(page string, measured []Slope) (wrong []string) {
@@ -200,7 +255,23 @@
 				if x := number("intercept"); !Near(x, s.Intercept) {
 					bad(r.Line, "%s: intercept %s, measured %.4g", name, r.Cells["intercept"], s.Intercept)
 				}
-				known[name], known[name+"_0"] = s.Slope, s.Intercept
+				if t.Has("error") {
+					if x := number("error"); !Near(x, s.Error) {
+						bad(r.Line, "%s: error %s, measured %.4g", name, r.Cells["error"], s.Error)
+					}
+				}
+				if t.Has("reach") {
+					if x := number("reach"); !Near(x, s.Reach) {
+						bad(r.Line, "%s: reach %s, measured %.4g", name, r.Cells["reach"], s.Reach)
+					}
+				}
+				if t.Has("shape") && r.Cells["shape"] != s.Shape {
+					bad(r.Line, "%s: shape %s, measured %s", name, r.Cells["shape"], s.Shape)
+				}
+				if s.line() {
+					known[name], known[name+"_0"] = s.Slope, s.Intercept
+				}
+				known[name+"_most"] = s.Largest
 			case t.Has("name", "value"):
 				if _, twice := known[name]; twice {
 					bad(r.Line, "%s stands twice", name)
