Who has moved to another relay asks the leader first; a relay that is there is not silent in the simulation

Moved asks the leader that was known. Before this the simulation's relay was silent where it carried nothing, so that the gateway left for that: it sends idle frames in place of records now, and the record is looked at beside the gateway's own word.

Moves are counted of the gateways of the relay that ended.

--- a/internal/cluster/member/relayed_test.go
+++ b/internal/cluster/member/relayed_test.go
@@ -84,9 +84,13 @@
 		if _, list := talks(t, &o); slices.ContainsFunc(list, func(x *Talk) bool { return x.Renew != nil || x.Ask != nil }) {
 			t.Error("asked again without need")
 		}
+		m.view.lead = "lead"
 		m.Moved(time.Hour + 2*time.Millisecond)
 		o = m.Drain()
-		_, list := talks(t, &o)
+		to, list := talks(t, &o)
+		if slices.ContainsFunc(to, func(name string) bool { return name != "lead" }) {
+			t.Error("who was the leader is not asked first:", to)
+		}
 		renews, asks := 0, 0
 		for _, x := range list {
 			if x.Renew != nil {
--- a/internal/cluster/member/session.go
+++ b/internal/cluster/member/session.go
@@ -451,6 +451,9 @@
 func (m *Member) Moved(now time.Duration) {
 	m.now, m.unheard = now, 0 // who was asked may not have heard it
 	m.out.Moved = true
+	if m.view.lead != "" {
+		m.target = m.view.lead // others were asked as it did not answer, which was not its fault
+	}
 	m.renewGap = 0
 	for _, a := range m.asks {
 		a.again = now
--- a/internal/cluster/sim/relays.go
+++ b/internal/cluster/sim/relays.go
@@ -207,7 +207,10 @@
 	if n.router != nil {
 		o := n.router.Drain()
 		for _, f := range o.ToStream {
-			if s := n.streams[f.Name+fmt.Sprint(f.Epoch)]; s != nil && !(n.mute && f.Kind == relay.KindRecord) {
+			if n.mute && f.Kind == relay.KindRecord {
+				f.Kind, f.Body = relay.KindIdle, nil // it is there, that is all
+			}
+			if s := n.streams[f.Name+fmt.Sprint(f.Epoch)]; s != nil {
 				n.count(len(f.Body))
 				s.node[atGateway].gotFrames++
 				s.node[atGateway].gotBytes += len(f.Body)
@@ -631,8 +634,9 @@
 		return err
 	}
 	n.mute = false
+	lead := w.Leader()
 	for _, x := range w.Nodes {
-		if x.m.Session() != before[x] {
+		if x.m.Session() != before[x] || lead != nil && lead.State().Sessions[before[x]] == nil {
 			return w.failed(fmt.Sprintf("the session of %s lapsed as %s carried nothing on", x.name, n.name))
 		}
 	}
@@ -817,10 +821,9 @@
 	}
 }
 
-// movesSince is how long after a fault each gateway that moved by it was taken by another relay,
-// sorted.
-func (w *World) movesSince(since time.Duration) (list []time.Duration) {
-	for _, n := range w.Nodes[w.Relays:] {
+// movesSince is how long after a fault each of some gateways was taken by a relay, sorted.
+func movesSince(of []*Node, since time.Duration) (list []time.Duration) {
+	for _, n := range of {
 		if i := slices.IndexFunc(n.moves, func(at time.Duration) bool { return at >= since }); i >= 0 {
 			list = append(list, n.moves[i]-since)
 		}
@@ -837,7 +840,7 @@
 	SentFrames, SentBytes, GotFrames, GotBytes float64
 	// Behind a relay's end, until its gateways were taken by others; Killed: its process ended and
 	// its connections with it; Silent: its machine, and nobody was told.
-	Killed, Silent, Led []time.Duration // Led: behind the leader's machine, all that moved
+	Killed, Silent, Led []time.Duration // Led: behind the leader's machine
 	Lapsed              int             // sessions of others that lapsed by all of that
 }
 
@@ -874,6 +877,12 @@
 	}
 	end := func(n *Node, end func()) ([]time.Duration, error) {
 		at := w.Now
+		var its []*Node // others move as well, to a relay that they would rather have
+		for _, g := range w.Nodes[w.Relays:] {
+			if n.router.Streams()[g.name] != 0 {
+				its = append(its, g)
+			}
+		}
 		end()
 		if err := w.Run(2 * lease.TTL); err != nil {
 			return nil, err
@@ -883,7 +892,7 @@
 				c.Lapsed++
 			}
 		}
-		list := w.movesSince(at)
+		list := movesSince(its, at)
 		n.Start()
 		if !w.Until(Bound, w.Whole) {
 			return list, w.failed("not whole after a relay came back")
