Relays: the unit test of a stream that came and went between two frames of routes

Change: a relay that took a stream which ended before it told of it has whoever holds the earlier one cut it.

--- a/internal/cluster/relay/units_test.go
+++ b/internal/cluster/relay/units_test.go
@@ -148,6 +148,29 @@
 	}
 }
 
+// A relay that took a stream which ended before it told of it takes nothing of an earlier one: who
+// holds that is told, and cuts it.
+func TestComeAndGone(t *testing.T) {
+	at := time.Hour
+	relays := []Relay{{"r1", "z", "r"}, {"r2", "z", "r"}}
+	r := pair()
+	other := NewRouter(at, Config{Name: "r2", Replica: 2, Boots: 1}, relays)
+	r.Up(at, "r2")
+	r.Join(at, Join{Name: "g", Replica: 1, Epoch: 1})
+	other.Join(at, Join{Name: "g", Replica: 1, Epoch: 2})
+	other.Left(at, "g", 2)
+	other.Tick(at)
+	for _, f := range other.Drain().ToRelay {
+		r.FromRelay(at, "r2", f.Kind, f.Body)
+	}
+	if o := r.Drain(); len(o.Cut) != 1 || len(r.Streams()) != 0 {
+		t.Errorf("a stream is kept of which another relay takes nothing: %+v", o)
+	}
+	if k := r.known["g"]; k.relay != "" || r.links["r2"].sum != 0 {
+		t.Errorf("a stream that has ended is known as there: %+v", k)
+	}
+}
+
 // A gateway leaves a relay that says nothing within heardMost, and one by which no renewal is
 // answered within answerMost; that patience doubles as long as none is, and no relay is gone back
 // to at once.
