The test of failed calls to discovery plays twelve gateways a case, as the race detector failed with fifty

Ruled out: a data race (none is reported, the detector itself stops). Change: the first, the last and ten more of the 300 are played, over the same 0 to 12 s without discovery and the same ways to fail.

--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -266,7 +266,9 @@
 // module's own wait is in it.
 func TestToldAfterFailedCalls(t *testing.T) {
 	quietly(t)
-	const fleet, each = 300, 50
+	// So many of the fleet's gateways a case, its first and last among them. With 50 the race detector itself
+	// failed once in twelve runs (CHECK in tsan_rtl.cpp), as thousands of goroutines came and went.
+	const fleet, each = 300, 12
 	for _, m := range modes {
 		for _, f := range failings {
 			t.Run(m.name+"/"+f.name, func(t *testing.T) {
@@ -280,7 +282,7 @@
 						if i%3 > 0 {
 							s.down = 20*time.Second + time.Duration(i)*7*time.Millisecond
 						}
-						s.back = s.down + time.Duration(i)*241*time.Millisecond // 0 to 12 s
+						s.back = s.down + time.Duration(i)*1081*time.Millisecond // 0 to 12 s
 						services[i], gateways[i] = s, startGateway(ctx, t, m, (fleet-1)*i/(each-1), fleet, s.dial, &all)
 					}
 					for i, g := range gateways {
