Review case 2: bodies of 3 to 6 MB, as what sockets hold differs by machine

Cause: with one size the case depends on the buffers of the machine that plays it.

Done: sizes in turn; only requests whose last byte was written count, as before.

--- a/review/standins/standin/upload.go
+++ b/review/standins/standin/upload.go
@@ -12,13 +12,16 @@
 )
 
 const (
-	uploadHosts   = 6       // one of them hangs: 17 %
-	uploadBytes   = 4 << 20 // of the 32 MB that a body may have
+	uploadHosts   = 6 // one of them hangs: 17 %
 	uploadHang    = 15 * time.Second
 	uploadWait    = 14 * time.Second // how long a client watches for an answer
 	uploadClients = 36
 )
 
+// uploadSizes are the sizes of the bodies, in MB, of the 32 that a body may have. How much of a body the sockets between
+// client and host hold differs from machine to machine.
+var uploadSizes = []int{3, 4, 5, 6}
+
 func init() { cases["upload"] = uploadCase }
 
 // uploadCase: a host hangs while requests with long bodies are sent.
@@ -66,7 +69,7 @@
 	for i := range uploadClients {
 		clients.Go(func() {
 			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
-			q := &kit.Request{ID: kit.NewID(), Class: "missed-bin", Timeout: 3 * time.Second, Body: bytes.Repeat([]byte("photo..."), uploadBytes/8)}
+			q := &kit.Request{ID: kit.NewID(), Class: "missed-bin", Timeout: 3 * time.Second, Body: bytes.Repeat([]byte("photo..."), uploadSizes[i%len(uploadSizes)]<<20/8)}
 			o := kit.Send(g.Addr, q, uploadWait)
 			if !o.Sent.IsZero() {
 				taken.Add(1)
@@ -76,7 +79,7 @@
 				lost.Add(1)
 				word = "LOST"
 			}
-			e.Record.LogAt(o.Sent, "client: last byte of %s (%d bytes, X-Timeout 3.000) written: %s: %s", q.ID, uploadBytes, o.String(), word)
+			e.Record.LogAt(o.Sent, "client: last byte of %s (%d bytes, X-Timeout 3.000) written: %s: %s", q.ID, len(q.Body), o.String(), word)
 		})
 	}
 	clients.Wait()
