--- a/review/standins/standin/upload.go
+++ b/review/standins/standin/upload.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -14,13 +16,43 @@
 const (
 	uploadHosts   = 6 // one of them hangs: 17 %
 	uploadHang    = 15 * time.Second
-	uploadWait    = 14 * time.Second // how long a client watches for an answer
-	uploadClients = 36
+	uploadTimeout = 3 * time.Second
+	uploadWait    = uploadTimeout + kit.Late + 100*time.Millisecond // then a client without an answer leaves
+	uploadClients = 60
+	uploadEvery   = 120 * time.Millisecond
+	uploadBefore  = 24 // long requests before the hang, one after another
 )
 
 // uploadSizes are the sizes of the bodies, in MB, of the 32 that a body may have. How much of a body the sockets between
 // client and host hold differs from machine to machine.
-var uploadSizes = []int{3, 4, 5, 6}
+var uploadSizes = []int{4, 5, 6}
+
+// uploadQuiet plays a quiet time, and returns the number of the host that the gateway has given most of the long requests.
+func uploadQuiet(e *kit.Env, addr string) (busiest int) {
+	for range 60 {
+		kit.Send(addr, &kit.Request{ID: kit.NewID(), Class: "lookup", Timeout: uploadTimeout}, uploadWait)
+	}
+	began := func(i int) int {
+		text, _ := os.ReadFile(filepath.Join(e.Temp, fmt.Sprintf("s-%02d.log", i)))
+		return bytes.Count(text, []byte(" began("))
+	}
+	var before, count [uploadHosts]int
+	for i := range uploadHosts {
+		before[i] = began(i)
+	}
+	for range uploadBefore {
+		q := &kit.Request{ID: kit.NewID(), Class: "missed-bin", Timeout: uploadTimeout, Body: make([]byte, uploadSizes[0]<<20)}
+		kit.Send(addr, q, uploadWait)
+	}
+	for i := range uploadHosts {
+		count[i] = began(i) - before[i]
+		if count[i] > count[busiest] {
+			busiest = i
+		}
+	}
+	e.Record.Logf("long requests by host before the hang: %v", count)
+	return busiest
+}
 
 func init() { cases["upload"] = uploadCase }
 
@@ -51,16 +83,13 @@
 		return 0, err
 	}
 	defer g.Stop()
-	// A short quiet time: every host has served.
-	for range 60 {
-		kit.Send(g.Addr, &kit.Request{ID: kit.NewID(), Class: "lookup", Timeout: 3 * time.Second}, 4*time.Second)
-	}
+	busiest := uploadQuiet(e, g.Addr)
 	if e.Trouble {
-		e.Record.Logf("host s-00 hangs")
-		hosts[0].Process.Signal(syscall.SIGSTOP)
+		e.Record.Logf("host s-%02d hangs", busiest)
+		hosts[busiest].Process.Signal(syscall.SIGSTOP)
 		hang := time.AfterFunc(uploadHang, func() {
-			hosts[0].Process.Signal(syscall.SIGCONT)
-			e.Record.Logf("host s-00 goes on")
+			hosts[busiest].Process.Signal(syscall.SIGCONT)
+			e.Record.Logf("host s-%02d goes on", busiest)
 		})
 		defer hang.Stop()
 	}
@@ -68,8 +97,8 @@
 	var clients sync.WaitGroup
 	for i := range uploadClients {
 		clients.Go(func() {
-			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
-			q := &kit.Request{ID: kit.NewID(), Class: "missed-bin", Timeout: 3 * time.Second, Body: bytes.Repeat([]byte("photo..."), uploadSizes[i%len(uploadSizes)]<<20/8)}
+			time.Sleep(time.Duration(i) * uploadEvery)
+			q := &kit.Request{ID: kit.NewID(), Class: "missed-bin", Timeout: uploadTimeout, Body: bytes.Repeat([]byte("photo..."), uploadSizes[i%len(uploadSizes)]<<20/8)}
 			o := kit.Send(g.Addr, q, uploadWait)
 			if !o.Sent.IsZero() {
 				taken.Add(1)
