Count failed uploads by whether their host may have run them

Cause: nothing showed what became of a request whose attempt failed while its body was streamed. The balancer and the flight recorder learn only that such an attempt was canceled when the body began, so a wrong rejection after an upload left no trace.

Change: Engine.FailedUploads counts these requests by their final response, and /admin/status has them as uploads: never_ran (503) and may_have_run (502). The key is added after the others, whose bytes stay as they are (testdata/compat/status.json).

Result: TestCompatStatus and TestUploadCutByHostIsNotRetried, which checks the counter, pass.

--- a/internal/engine/attempts.go
+++ b/internal/engine/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"dunemoor/balancer"
@@ -110,6 +111,23 @@
 	return outcome
 }
 
+// FailedUploads counts requests whose attempt failed after a part of their streamed body was sent, so that they can't have
+// another attempt.
+type FailedUploads struct {
+	NeverRan   atomic.Int64 // provably not run by the host: the client got a rejection
+	MayHaveRun atomic.Int64 // the client got a failure
+}
+
+// count counts a request by the kind of its final response.
+func (f *FailedUploads) count(kind Kind) {
+	switch kind {
+	case Rejected:
+		f.NeverRan.Add(1)
+	case Failed:
+		f.MayHaveRun.Add(1)
+	}
+}
+
 // finishStreamed handles the end of the last attempt of a request whose streamed body was sent in part: the client
 // gets a host's response, a rejection if the request provably never ran, or a failure.
 func (p *Pool) finishStreamed(x *Request, outcome balancer.Result) {
@@ -122,6 +140,7 @@
 		}
 		if x.respond(final) {
 			p.countResponse(final.Kind == Rejected)
+			p.engine.FailedUploads.count(final.Kind)
 		} else {
 			final.discard()
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,8 @@
 	Overload *overload.Controller
 	// LoopDelays is a histogram of how long requests have waited for the loop.
 	LoopDelays overload.Delays
+	// FailedUploads counts the requests that failed after a part of their streamed body was sent.
+	FailedUploads FailedUploads
 
 	// The fields below are used only by the goroutine of Run.
 	ctx        context.Context // parent of the contexts of all attempts
--- a/internal/gateway/platform_body_test.go
+++ b/internal/gateway/platform_body_test.go
@@ -129,6 +129,9 @@
 	if got := conns.Load(); got != 1 {
 		t.Errorf("%d attempts, want 1", got)
 	}
+	if got, want := g.Status().(Status).Uploads, (Uploads{NeverRan: 1}); got != want {
+		t.Errorf("counted %+v, want %+v", got, want)
+	}
 }
 
 // Long responses arrive completely with any framing, at the pace of the client, and without being buffered
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -19,6 +19,13 @@
 	Bodies   map[string]Bytes `json:"bodies"`  // memory for bodies, by purpose
 	Refused  map[string]int64 `json:"refused"` // rejections at admission since the start, by reason
 	Loop     Delay            `json:"loop"`    // time that requests waited for the event loop, since the start
+	Uploads  Uploads          `json:"uploads"` // requests that failed after a part of their streamed body was sent, since the start
+}
+
+// Uploads counts requests that failed after a part of their streamed body was sent, and that had no other attempt.
+type Uploads struct {
+	NeverRan   int64 `json:"never_ran"`    // provably not run by the host; answered with 503
+	MayHaveRun int64 `json:"may_have_run"` // answered with 502
 }
 
 // Delay has quantiles and the maximum of a delay in microseconds. The quantiles have an error of at most an eighth.
@@ -47,6 +54,7 @@
 		Clients: g.server.ConnCounts(),
 		Bodies:  map[string]Bytes{},
 		Refused: map[string]int64{},
+		Uploads: Uploads{g.engine.FailedUploads.NeverRan.Load(), g.engine.FailedUploads.MayHaveRun.Load()},
 		Loop:    newDelay(&g.engine.LoopDelays),
 	}
 	s.Ready, s.Detail = g.admission.Health()
