Uploads: no proof of "never ran" once the host may have the last byte

What callers saw: a booking with a body of over 64 KiB came over FastCGI, a host ran it, and its connection was reset before the web server had ended STDIN.

Cause: upload.stop in upstream/http1 held the body for sent only when its reader had reported the end, the last write had returned without an error, and the upload's goroutine had ended. A host has the whole request with the last byte of content, or of the last chunk. upstream/fastcgi did the same with the record that ends STDIN, also for buffered bodies, which it would have sent a second time.

Change: upstream.UploadProgress counts what writes report, with or without an error. Both transports ask it, after the upload has ended, whether the host may have the last byte; the proof needs that it does not.

--- a/internal/upstream/fastcgi/call.go
+++ b/internal/upstream/fastcgi/call.go
@@ -25,7 +25,7 @@
 	ended  chan struct{}          // closed when END_REQUEST has arrived or the connection has ended
 
 	abandoned bool // whether the response is no longer needed; guarded by conn.mu
-	sent      bool // whether the last byte of the request was written; guarded by conn.mu
+	sent      bool // whether the responder may have received the whole request; guarded by conn.mu
 }
 
 // startCall opens a request on the connection, or returns nil if the connection has ended.
@@ -92,14 +92,15 @@
 	}
 }
 
-// setSent records that the last byte of a request was written.
+// setSent records that the responder may have received the whole request.
 func (c *conn) setSent(k *call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.sent = true
 }
 
-// wasSent reports whether the last byte of a request was written.
+// wasSent reports whether the responder may have received the whole request. If it returns false, that proves that the
+// responder has not received the last byte.
 func (c *conn) wasSent(k *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/fastcgi/roundtrip.go
+++ b/internal/upstream/fastcgi/roundtrip.go
@@ -61,6 +61,7 @@
 // and k has been released.
 func (c *conn) sendRequest(ctx context.Context, x *engine.Request, k *call) (result engine.Result, ok bool) {
 	records, paramsEnd := c.host.transport.encodeRequest(k.id, x)
+	contentEnd := len(records)
 	isComplete := x.Body.Buffered()
 	if isComplete {
 		records = fastcgi.AppendStreamEnd(records, fastcgi.Stdin, k.id)
@@ -74,7 +75,8 @@
 		c.forgetCall(k)
 		return engine.Ended(balancer.NotSent), false
 	}
-	if isComplete && written == len(records) {
+	if isComplete && written >= contentEnd {
+		// The responder may not wait for the end of STDIN, as it knows the length of the body.
 		c.setSent(k)
 	}
 	if err != nil {
--- a/internal/upstream/fastcgi/upload.go
+++ b/internal/upstream/fastcgi/upload.go
@@ -56,19 +56,29 @@
 	u.copyStream(c, k, *buf)
 }
 
-// copyStream sends the stream to its end, through buf. A failed write closes the connection, which readLoop detects.
+// copyStream sends the stream to its end, through buf, and calls setSent once the responder may have received the whole
+// request. A failed write closes the connection, which readLoop detects.
 func (u *upload) copyStream(c *conn, k *call, buf []byte) {
 	stream := u.request.Body.Stream()
 	timeout := upstream.Streams(u.request, &defaultStreams).Pace.IdleTimeout
 	content := buf[fastcgi.HeaderBytes:min(len(buf), fastcgi.HeaderBytes+fastcgi.MaxUnpaddedBytes)]
+	progress := upstream.NewUploadProgress(u.request.Body)
 	for {
 		n, err := stream.Read(content)
-		if n > 0 && !writeStdin(c, k, buf, n, timeout) {
-			return
+		if n > 0 {
+			written, writeErr := writeStdin(c, k, buf, n, timeout)
+			progress.ContentWritten(written)
+			if progress.MayBeComplete() {
+				c.setSent(k)
+			}
+			if writeErr != nil {
+				return
+			}
 		}
 		if err == io.EOF {
 			written, _ := c.write(fastcgi.AppendStreamEnd(buf[:0], fastcgi.Stdin, k.id), timeout)
-			if written == fastcgi.HeaderBytes {
+			progress.EndWritten(written)
+			if progress.MayBeComplete() {
 				c.setSent(k)
 			}
 			return
@@ -83,10 +93,10 @@
 	}
 }
 
-// writeStdin writes a STDIN record with n bytes of content, and reports whether that succeeded. In buf the content
-// follows the space for the record header.
-func writeStdin(c *conn, k *call, buf []byte, n int, timeout time.Duration) bool {
+// writeStdin writes a STDIN record with n bytes of content, and returns how much of the content was written. In buf the
+// content follows the space for the record header.
+func writeStdin(c *conn, k *call, buf []byte, n int, timeout time.Duration) (written int, err error) {
 	fastcgi.AppendHeader(buf[:0], fastcgi.Header{Type: fastcgi.Stdin, ID: k.id, ContentBytes: n})
-	_, err := c.write(buf[:fastcgi.HeaderBytes+n], timeout)
-	return err == nil
+	recordBytes, err := c.write(buf[:fastcgi.HeaderBytes+n], timeout)
+	return max(0, recordBytes-fastcgi.HeaderBytes), err
 }
--- a/internal/upstream/http1/roundtrip.go
+++ b/internal/upstream/http1/roundtrip.go
@@ -32,13 +32,13 @@
 	}
 	if err != nil {
 		stopClosing()
-		uploaded := up.stop()
+		up.stop()
 		t.closeConn(c)
 		response.ReleaseMemory()
-		if ctx.Err() != nil && uploaded {
+		if ctx.Err() != nil && up.progress.MayBeComplete() {
 			t.attemptAbandoned(c.host, writtenAt)
 		}
-		return readFailure(ctx, x, up, uploaded, err)
+		return readFailure(ctx, x, up, err)
 	}
 	t.responseReceived(c.host)
 	switch {
@@ -74,13 +74,14 @@
 }
 
 // readFailure returns the result of an attempt that failed with err after its request was written, except for the
-// streamed part of the body. uploaded reports whether that part was written as well.
-func readFailure(ctx context.Context, x *engine.Request, up *upload, uploaded bool, err error) engine.Result {
+// streamed part of the body, whose upload has been stopped.
+func readFailure(ctx context.Context, x *engine.Request, up *upload, err error) engine.Result {
 	isPlatform := !upstream.IsPlain(x)
+	mayBeComplete := up.progress.MayBeComplete()
 	switch {
-	case up.failedByClient, ctx.Err() != nil && !uploaded:
+	case up.failedByClient, ctx.Err() != nil && !mayBeComplete:
 		return engine.Ended(balancer.Canceled)
-	case !uploaded && isPlatform:
+	case !mayBeComplete && isPlatform:
 		// Proof: the host has not received the last byte of the request, and the platform's protocol requires it.
 		return engine.Result{Outcome: balancer.ConnectFailed, PartlySent: true}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -34,13 +34,17 @@
 
 	// The following are set before done is closed.
 
-	err            error // why the upload ended before the end of the body; nil: the whole body was sent
-	failedByClient bool  // whether the body could not be read from the client
+	progress       upstream.UploadProgress // what was written to the host
+	err            error                   // why the upload ended before the end of the body; nil: the whole body was sent
+	failedByClient bool                    // whether the body could not be read from the client
 }
 
 // startUpload starts the upload of a request. If the body is buffered there is nothing to send, and the upload has ended.
 func startUpload(c *conn, x *engine.Request) *upload {
-	u := &upload{conn: c, request: x, continued: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{})}
+	u := &upload{
+		conn: c, request: x, progress: upstream.NewUploadProgress(x.Body),
+		continued: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}),
+	}
 	if x.Body.Buffered() {
 		close(u.done)
 	} else {
@@ -57,7 +61,9 @@
 	}
 }
 
-// stop ends the upload if it is still running, by closing its connection, and reports whether the whole body was sent.
+// stop ends the upload if it is still running, by closing its connection, and reports whether it had sent the whole body
+// before, so that the connection can carry another request. A host may have received the whole request even if stop
+// returns false, see progress.
 func (u *upload) stop() bool {
 	select {
 	case <-u.done:
@@ -120,7 +126,8 @@
 			}
 			startedAt := time.Now()
 			deadline.Reset(startedAt, meter.Timeout())
-			_, err := u.conn.Write(part)
+			written, err := u.conn.Write(part)
+			u.progress.ContentWritten(written)
 			if err == nil {
 				err = meter.Record(n, time.Since(startedAt))
 			}
@@ -133,7 +140,8 @@
 				return nil
 			}
 			u.conn.SetWriteDeadline(time.Now().Add(meter.Timeout()))
-			_, err := u.conn.Write(lastChunk(stream.Trailer()))
+			written, err := u.conn.Write(lastChunk(stream.Trailer()))
+			u.progress.EndWritten(written)
 			return err
 		}
 		if readErr != nil {
