Bodies: drop a buffer before its memory is returned to the budget

Cause: forwardStream returned the reservation of a response's buffered start once that was written, but engine.Response.Body and responseStream.buffered referred to it until the response had ended. So the limit bounded nothing where clients are slow. The same held for pooled pages and for request bodies, which Ticket.Body referred to until the response was written.

Change: all copies of a body.Body share its buffered part, and Release drops it for all; ReleaseMemory and Ticket.releaseBody call it before they return the reservation. readBody sets the response's body, so that its stream has no reference; uploads read nothing of the buffered part after the attempt. Long responses are reserved in the Budget too: bounded over all pools, and shown by /admin/status, where they were 0 at all times.

--- a/internal/body/budget.go
+++ b/internal/body/budget.go
@@ -9,9 +9,8 @@
 const (
 	// RequestBodies are buffered parts of request bodies; "requests".
 	RequestBodies Purpose = iota
-	// ResponseBodies are buffered response bodies beyond 64 KiB; "answers". Nothing reserves memory for them here, so
-	// that Used returns 0: upstream/http1 counts them by itself (Transport.largeBytes), against as large a share of
-	// the memory limit (largeResponseShare of package gateway).
+	// ResponseBodies are buffered parts of response bodies that are longer than 64 KiB; "answers". upstream/http1
+	// reserves memory for them here, within a limit that each Transport has besides (Transport.maxLargeBytes).
 	ResponseBodies
 	// StreamBuffers are buffers that streams are copied through; "flows".
 	StreamBuffers
@@ -35,7 +34,8 @@
 }
 
 // Budget bounds the memory that bodies in flight use. Each purpose has a limit of its own, so that one can't use
-// up the memory of another. Its methods may be called by any goroutine.
+// up the memory of another. What is reserved must be released after the last reference to the memory was dropped, and
+// not when it was read for the last time. The methods of a Budget may be called by any goroutine.
 type Budget struct {
 	used, limit [purposeCount]atomic.Int64 // bytes
 }
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -38,8 +38,10 @@
 	Close() error
 }
 
-// ReleaseMemory returns the memory of the buffered part of the body to its budget. That part must not be read any more.
+// ReleaseMemory drops the buffered part of the body and returns its memory to its budget. That part must not be read any
+// more.
 func (r *Response) ReleaseMemory() {
+	r.Body.Release()
 	if r.OnRelease != nil {
 		r.OnRelease()
 		r.OnRelease = nil
--- a/internal/frontend/fastcgi/response.go
+++ b/internal/frontend/fastcgi/response.go
@@ -79,14 +79,13 @@
 	if t.Route.Streams != nil {
 		idleTimeout = t.Route.Streams.Pace.IdleTimeout
 	}
-	buffered := resp.Body.Bytes()
-	if resp.Body.Buffered() && len(header)+len(buffered) <= maxContentPerWrite {
+	if buffered := resp.Body.Bytes(); resp.Body.Buffered() && len(header)+len(buffered) <= maxContentPerWrite {
 		r.finish(append(header, buffered...))
 		return
 	}
 	err := r.write(header, idleTimeout)
 	if err == nil {
-		err = r.write(buffered, idleTimeout)
+		err = r.write(resp.Body.Bytes(), idleTimeout)
 	}
 	if stream := resp.Body.Stream(); err == nil && stream != nil {
 		resp.ReleaseMemory()
--- a/internal/frontend/ticket.go
+++ b/internal/frontend/ticket.go
@@ -128,9 +128,10 @@
 	return t.page, nil
 }
 
-// releaseBody releases the memory of the body. It is called by the engine, because an attempt may still use the body
-// after the response has been sent to the client.
+// releaseBody drops the buffered part of the body and releases its memory. It is called by the engine, because an attempt
+// may still use the body after the response has been sent to the client.
 func (t *Ticket) releaseBody() {
+	t.Body.Release()
 	t.admission.Bodies.Release(body.RequestBodies, t.reservedBytes)
 	if t.page != nil {
 		body.FreePage(t.page)
--- a/internal/upstream/fastcgi/upload.go
+++ b/internal/upstream/fastcgi/upload.go
@@ -11,16 +11,17 @@
 )
 
 // upload sends the streamed part of a request's body while the gateway waits for the response. It runs in a goroutine of
-// its own, which stop ends.
+// its own, which stop ends. That goroutine does not read the buffered part, which is freed when the attempt has ended.
 type upload struct {
 	request        *engine.Request
-	done           chan struct{} // closed when the upload has ended
-	failedByClient bool          // whether the body could not be read from the client; set before done is closed
+	progress       upstream.UploadProgress // what was written to the responder; used only by the upload's goroutine
+	done           chan struct{}           // closed when the upload has ended
+	failedByClient bool                    // whether the body could not be read from the client; set before done is closed
 }
 
 // startUpload starts the upload of a request. If the body is buffered there is nothing to send, and the upload has ended.
 func startUpload(c *conn, k *call, x *engine.Request) *upload {
-	u := &upload{request: x, done: make(chan struct{})}
+	u := &upload{request: x, progress: upstream.NewUploadProgress(x.Body), done: make(chan struct{})}
 	if x.Body.Buffered() {
 		close(u.done)
 	} else {
@@ -62,13 +63,12 @@
 	stream := u.request.Body.Stream()
 	timeout := upstream.Streams(u.request, &defaultStreams).Pace.IdleTimeout
 	content := buf[fastcgi.HeaderBytes:min(len(buf), fastcgi.HeaderBytes+fastcgi.MaxUnpaddedBytes)]
-	progress := upstream.NewUploadProgress(u.request.Body)
 	for {
 		n, err := stream.Read(content)
 		if n > 0 {
 			written, writeErr := writeStdin(c, k, buf, n, timeout)
-			progress.ContentWritten(written)
-			if progress.MayBeComplete() {
+			u.progress.ContentWritten(written)
+			if u.progress.MayBeComplete() {
 				c.setSent(k)
 			}
 			if writeErr != nil {
@@ -77,8 +77,8 @@
 		}
 		if err == io.EOF {
 			written, _ := c.write(fastcgi.AppendStreamEnd(buf[:0], fastcgi.Stdin, k.id), timeout)
-			progress.EndWritten(written)
-			if progress.MayBeComplete() {
+			u.progress.EndWritten(written)
+			if u.progress.MayBeComplete() {
 				c.setSent(k)
 			}
 			return
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -38,18 +38,18 @@
 var defaultStreams = engine.Streams{HeaderDeadlineOnly: true, Pace: body.Pace{IdleTimeout: maxHeaderTime}}
 
 // readResponse reads the header section of the final response and the buffered part of its body, see the table in
-// responsebody.go. stream is the source of the rest, or nil if there is none. The error is errMalformedResponse if the
+// responsebody.go. The error is errMalformedResponse if the
 // response is invalid, is too long, does not arrive in time or has a body whose end can't be determined, and otherwise an
 // error of the connection.
-func (c *conn) readResponse(x *engine.Request, up *upload) (response engine.Response, stream *responseStream, err error) {
+func (c *conn) readResponse(x *engine.Request, up *upload) (response engine.Response, err error) {
 	defer c.setReadTimeout(0)
 	for {
 		c.headerLimit.N = maxHeaderBytes
 		if _, err := c.in.Peek(1); err != nil {
-			return response, nil, err
+			return response, err
 		}
 		if err := c.readMessage(x, &response); err != nil {
-			return response, nil, c.messageError(err)
+			return response, c.messageError(err)
 		}
 		switch {
 		case response.Status == http.StatusContinue:
@@ -57,17 +57,17 @@
 		case response.Status == http.StatusSwitchingProtocols:
 			wasRequested := x.Upgrade != "" && x.Body.Buffered()
 			if !wasRequested {
-				return response, nil, errMalformedResponse
+				return response, errMalformedResponse
 			}
 			response.Kind = engine.Served
-			return response, nil, nil
+			return response, nil
 		case response.Status >= http.StatusOK:
 			response.Kind = engine.Served
-			stream, err = c.readBody(x, up, &response)
+			err = c.readBody(x, up, &response)
 			if err != nil {
 				err = c.messageError(err)
 			}
-			return response, stream, err
+			return response, err
 		case x.SendInformational != nil:
 			x.SendInformational(response.Status, response.Header)
 		}
--- a/internal/upstream/http1/responsebody.go
+++ b/internal/upstream/http1/responsebody.go
@@ -47,13 +47,13 @@
 	maxChunkWait = 16 << 10
 )
 
-// readBody determines how the body of a response is delimited (RFC 9112, 6.3) and reads the part that is buffered. It
-// returns nil if that is the whole body. A body that is framed in two ways is malformed, as the next recipient could
-// interpret it differently.
-func (c *conn) readBody(x *engine.Request, up *upload, response *engine.Response) (*responseStream, error) {
+// readBody determines how the body of a response is delimited (RFC 9112, 6.3), reads the part that is buffered and sets the
+// body of the response. A body that is framed in two ways is malformed, as the next recipient could interpret it
+// differently.
+func (c *conn) readBody(x *engine.Request, up *upload, response *engine.Response) error {
 	c.headerLimit.N = unlimitedBytes
 	if httpwire.ResponseHasNoBody(x.Method, response.Status) {
-		return nil, nil
+		return nil
 	}
 	s := newResponseStream(c, x, up, response.Header)
 	isPlatform := !upstream.IsPlain(x)
@@ -61,18 +61,18 @@
 	codings := response.Header["Transfer-Encoding"]
 	switch {
 	case len(lengths)+len(codings) > 1:
-		return nil, errMalformedResponse
+		return errMalformedResponse
 	case len(lengths) == 1:
 		return s.startWithLength(response, lengths[0], isPlatform)
 	case len(codings) == 1:
 		if !strings.EqualFold(strings.TrimSpace(codings[0]), "chunked") {
-			return nil, errMalformedResponse
+			return errMalformedResponse
 		}
 		s.isChunked = true
 		s.reader = httputil.NewChunkedReader(c.in)
 	default:
 		if isPlatform && !announcesClose(response.Header) {
-			return nil, errMalformedResponse // a truncated body could not be distinguished from a complete one
+			return errMalformedResponse // a truncated body could not be distinguished from a complete one
 		}
 		s.endsWithConn = true
 		s.reader = c.in
@@ -80,7 +80,8 @@
 	if isPlatform {
 		return s.bufferUnknownLength(response)
 	}
-	return s, nil
+	s.streamAfter(nil, response)
+	return nil
 }
 
 // responseStream is the source of a streamed response body.
@@ -92,7 +93,6 @@
 	deadline body.LazyDeadline
 	due      time.Time // when the last byte is due; zero: only the pace limits the body
 
-	buffered     []byte // the part that was read before the body is streamed
 	reader       io.Reader
 	length       int64 // Content-Length; -1: unknown
 	readBytes    int64
@@ -111,21 +111,29 @@
 	}
 }
 
+// streamAfter sets the body of the response to a stream that follows the buffered part. The responseStream itself holds no
+// reference to that part, so that Response.ReleaseMemory frees it while the rest is streamed.
+func (s *responseStream) streamAfter(buffered []byte, response *engine.Response) {
+	s.readBytes = int64(len(buffered))
+	response.Body = body.NewStreamed(buffered, body.NewStream(s, s.length))
+}
+
 // startWithLength reads the buffered part of a body with a Content-Length.
-func (s *responseStream) startWithLength(response *engine.Response, value string, isPlatform bool) (*responseStream, error) {
+func (s *responseStream) startWithLength(response *engine.Response, value string, isPlatform bool) error {
 	length, ok := httpwire.ParseResponseLength(value)
 	if !ok || isPlatform && length > maxPlatformBytes {
-		return nil, errMalformedResponse
+		return errMalformedResponse
 	}
 	if length <= maxSmallBytes {
-		return nil, s.readSmall(response, length, isPlatform)
+		return s.readSmall(response, length, isPlatform)
 	}
 	s.length = length
 	s.reader = io.LimitReader(s.conn.in, length)
 	if isPlatform {
 		return s.bufferStart(response)
 	}
-	return s, nil
+	s.streamAfter(nil, response)
+	return nil
 }
 
 // readSmall reads a whole body of up to maxSmallBytes.
@@ -143,12 +151,13 @@
 }
 
 // bufferStart reads up to maxLargeBuffered bytes of a body with a Content-Length, within upstream.MaxBufferTime. If memory
-// for them can't be reserved it reads none. It returns nil if it has read the whole body.
-func (s *responseStream) bufferStart(response *engine.Response) (*responseStream, error) {
+// for them can't be reserved it reads none. The memory is reserved until Response.ReleaseMemory drops the buffer.
+func (s *responseStream) bufferStart(response *engine.Response) error {
 	size := min(s.length, maxLargeBuffered)
 	t := s.conn.host.transport
 	if !t.reserveLargeBytes(size) {
-		return s, nil
+		s.streamAfter(nil, response)
+		return nil
 	}
 	free := func() { t.releaseLargeBytes(size) }
 	buffered := make([]byte, size)
@@ -157,21 +166,20 @@
 	n, err := io.ReadFull(s.reader, buffered)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		free()
-		return nil, err
+		return err
 	}
 	response.OnRelease = free
 	if err == nil && size == s.length {
 		response.Body = body.NewBuffered(buffered)
-		return nil, nil
+		return nil
 	}
-	s.buffered = buffered[:n]
-	s.readBytes = int64(n)
-	return s, nil
+	s.streamAfter(buffered[:n], response)
+	return nil
 }
 
 // bufferUnknownLength reads up to maxSmallBytes of a body of unknown length, as far as they arrive within
-// upstream.MaxBufferTime. It returns nil if it has read the whole body.
-func (s *responseStream) bufferUnknownLength(response *engine.Response) (*responseStream, error) {
+// upstream.MaxBufferTime.
+func (s *responseStream) bufferUnknownLength(response *engine.Response) error {
 	page := body.AllocPage(maxSmallBytes)
 	n, err := s.fillWithin(page, upstream.MaxBufferTime)
 	atEnd := err == io.EOF
@@ -183,16 +191,15 @@
 	}
 	if err != nil {
 		body.FreePage(page)
-		return nil, bodyError(err)
+		return bodyError(err)
 	}
 	response.OnRelease = func() { body.FreePage(page) }
 	if atEnd {
 		response.Body = body.NewBuffered(page[:n])
-		return nil, nil
+		return nil
 	}
-	s.buffered = page[:n]
-	s.readBytes = int64(n)
-	return s, nil
+	s.streamAfter(page[:n], response)
+	return nil
 }
 
 // fillWithin reads until p is full, the body ends, or no more bytes are available when limit has passed.
--- a/internal/upstream/http1/responsebody_test.go
+++ b/internal/upstream/http1/responsebody_test.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"strings"
 	"testing"
+	"weak"
 
 	"dunemoor/balancer"
+	"dunemoor/internal/body"
 	"dunemoor/internal/testutil"
 )
 
@@ -105,3 +107,53 @@
 		checkConnCounts(t, fmt.Sprintf("%s %q", test.method, test.response), h, 1, 1)
 	}
 }
+
+// While a long response is streamed to a slow client, the buffered part that the client already has is not kept in memory:
+// its memory is no longer reserved. Guards against a gateway that goes over its memory limit with many such clients.
+func TestBufferedPartIsNotReferencedOnceReleased(t *testing.T) {
+	const length = 2 * maxLargeBuffered
+	text := strings.Repeat("0123456789abcdef", length/16)
+	for name, response := range map[string]string{
+		"length":  fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, text),
+		"chunked": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", length, text),
+	} {
+		t.Run(name, func(t *testing.T) {
+			transport := newTestTransport()
+			server := testutil.NewHost(t, testutil.RespondWith(response))
+			h := newTestHost(transport, server.Addr())
+			got, response := attempt(t, h, newTestRequest("b"))
+			if got != balancer.OK || response.Body.Buffered() || len(response.Body.Bytes()) == 0 {
+				t.Fatalf("got outcome %v, buffered %t, want OK with a stream after a buffered part", got, response.Body.Buffered())
+			}
+			buffer := weak.Make(&response.Body.Bytes()[0])
+			response.ReleaseMemory()
+			if used, _ := transport.bodyBudget.Used(body.ResponseBodies); used != 0 || transport.largeBytes.Load() != 0 {
+				t.Errorf("got %d and %d bytes reserved, want 0", used, transport.largeBytes.Load())
+			}
+			testutil.CheckCollected(t, "the buffered part", buffer)
+			response.Release()
+		})
+	}
+}
+
+// The memory of large responses is limited over all transports together, and shown by the budget.
+func TestLargeResponsesAreReservedInBudget(t *testing.T) {
+	budget := body.NewBudget(4 << 20) // a quarter of it is for large responses
+	var transports [2]*Transport
+	for i := range transports {
+		transports[i] = NewTransport(Options{MaxConns: 1, MaxLargeBytes: 16 << 20, BodyBudget: budget})
+	}
+	if !transports[0].reserveLargeBytes(1 << 20) {
+		t.Error("reserve within the budget: got false, want true")
+	}
+	if transports[1].reserveLargeBytes(1) || transports[1].largeBytes.Load() != 0 {
+		t.Error("reserve beyond the budget: got true, or bytes that stay reserved, want false")
+	}
+	if used, _ := budget.Used(body.ResponseBodies); used != 1<<20 {
+		t.Errorf("budget: got %d bytes in use, want %d", used, 1<<20)
+	}
+	transports[0].releaseLargeBytes(1 << 20)
+	if used, _ := budget.Used(body.ResponseBodies); used != 0 {
+		t.Errorf("budget after release: got %d bytes in use, want 0", used)
+	}
+}
--- a/internal/upstream/http1/roundtrip.go
+++ b/internal/upstream/http1/roundtrip.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"dunemoor/balancer"
-	"dunemoor/internal/body"
 	"dunemoor/internal/engine"
 	"dunemoor/internal/upstream"
 )
@@ -26,7 +25,7 @@
 	}
 	writtenAt := time.Now()
 	up := startUpload(c, x)
-	response, stream, err := c.readResponse(x, up)
+	response, err := c.readResponse(x, up)
 	if err == nil && !stopClosing() {
 		err = ctx.Err() // the attempt was abandoned after the response had arrived
 	}
@@ -44,9 +43,7 @@
 	switch {
 	case response.Status == http.StatusSwitchingProtocols:
 		response.Tunnel = newTunnel(c)
-	case stream != nil:
-		response.Body = body.NewStreamed(stream.buffered, body.NewStream(stream, stream.length))
-	default:
+	case response.Body.Buffered():
 		c.finish(up, c.reusableAfter(response.Header))
 	}
 	return engine.Result{HasResponse: true, Response: response}
--- a/internal/upstream/http1/transport.go
+++ b/internal/upstream/http1/transport.go
@@ -44,7 +44,7 @@
 	MaxLargeBytes   int64         // limit of the memory for all large responses together, in bytes
 	HostIdleTimeout time.Duration // time after which hosts close an idle connection; default DefaultHostIdleTimeout
 	DialTimeout     time.Duration // time limit to establish a connection; default and maximum 100 ms
-	BodyBudget      *body.Budget  // budget of the buffers for streamed request bodies; see upstream.BodyBudget
+	BodyBudget      *body.Budget  // budget of stream buffers and large responses; see upstream.BodyBudget
 
 	// DialContext replaces the dialer, for tests. DialTimeout and its maximum of 100 ms do not apply then.
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -60,8 +60,8 @@
 	minSilence  time.Duration
 	reuseDelay  time.Duration
 
-	// largeBytes is the memory reserved for responses longer than maxSmallBytes. It is not a part of bodyBudget, and no
-	// status or metric shows it.
+	// largeBytes is the memory reserved for responses longer than maxSmallBytes. It is reserved in bodyBudget too, which
+	// bounds all transports together.
 	largeBytes    atomic.Int64
 	maxLargeBytes atomic.Int64
 
@@ -106,16 +106,20 @@
 func (t *Transport) Run(ctx context.Context) { upstream.Sweep(ctx, t.closeExpired, t.close) }
 
 // reserveLargeBytes reserves n bytes of memory for a part of a large response. It returns false if that would exceed the
-// limit.
+// limit of the transport or of the budget.
 func (t *Transport) reserveLargeBytes(n int64) bool {
-	if t.largeBytes.Add(n) > t.maxLargeBytes.Load() {
-		t.largeBytes.Add(-n)
-		return false
+	isWithinLimit := t.largeBytes.Add(n) <= t.maxLargeBytes.Load()
+	if isWithinLimit && t.bodyBudget.Reserve(body.ResponseBodies, n) {
+		return true
 	}
-	return true
+	t.largeBytes.Add(-n)
+	return false
 }
 
-func (t *Transport) releaseLargeBytes(n int64) { t.largeBytes.Add(-n) }
+func (t *Transport) releaseLargeBytes(n int64) {
+	t.bodyBudget.Release(body.ResponseBodies, n)
+	t.largeBytes.Add(-n)
+}
 
 // host is the Endpoint of a host.
 type host struct {
