fakes: a crashed node keeps its port, so that its restart can bind it

Cause: TestHostFaultsLoseNoRequests failed once with "bind: address already in use". A node that crashes closes its listener, and until its restart its port on 127.0.0.1 is free: the system may give it to an outgoing connection or to a listener of another test. Forced by a connection from that port, the restart fails with the same words.

Change: reservedAddress keeps a socket bound to the address, which does not listen, so connections are refused as before. Node and Responder share it, and have Close, which ends the reservation.

Result: TestCrashedNodeKeepsItsPort fails without it (the port is given away, and the restart fails) and passes with it.

--- a/internal/experiment/fakes/fleet.go
+++ b/internal/experiment/fakes/fleet.go
@@ -72,10 +72,10 @@
 		f.Discovery.Close()
 	}
 	for _, n := range f.Nodes {
-		n.Crash()
+		n.Close()
 	}
 	for _, r := range f.Responders {
-		r.Crash()
+		r.Close()
 	}
 }
 
--- a/internal/experiment/fakes/node.go
+++ b/internal/experiment/fakes/node.go
@@ -1,7 +1,6 @@
 package fakes
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -57,7 +56,7 @@
 	IgnoresTokens atomic.Bool
 
 	ledger    *Ledger
-	address   string
+	address   *reservedAddress
 	behaviour atomic.Pointer[Behaviour]
 	inFlight  atomic.Int64
 
@@ -79,39 +78,29 @@
 
 // StartNodeAt starts a node at an address, which must be a loopback one.
 func StartNodeAt(address, name, group string, ledger *Ledger, seed uint64, b Behaviour) (*Node, error) {
-	if err := checkLoopback(address); err != nil {
+	reserved, err := reserveAddress(address)
+	if err != nil {
 		return nil, err
 	}
-	n := &Node{Name: name, Group: group, ledger: ledger, random: rand.New(rand.NewPCG(seed, nodeStream)), address: address}
+	n := &Node{Name: name, Group: group, ledger: ledger, random: rand.New(rand.NewPCG(seed, nodeStream)), address: reserved}
 	n.behaviour.Store(&b)
 	return n, n.Start()
 }
 
-// checkLoopback returns an error unless the host of an address is a loopback IP address.
-func checkLoopback(address string) error {
-	host, _, err := net.SplitHostPort(address)
-	ip := net.ParseIP(host)
-	if err != nil || ip == nil || !ip.IsLoopback() {
-		return fmt.Errorf("fakes: %q is not a loopback address", address)
-	}
-	return nil
-}
-
 // Addr returns the address that the node listens on, also after a crash.
-func (n *Node) Addr() string { return n.address }
+func (n *Node) Addr() string { return n.address.address }
 
 // Behave changes the node's behaviour.
 func (n *Node) Behave(b Behaviour) { n.behaviour.Store(&b) }
 
 // Start starts the node, or restarts it after a Crash.
 func (n *Node) Start() error {
-	listener, err := net.Listen("tcp", n.address)
+	listener, err := n.address.listen()
 	if err != nil {
 		return err
 	}
 	n.mu.Lock()
 	n.listener = listener
-	n.address = listener.Addr().String()
 	n.startedAt = time.Now()
 	n.starts++
 	n.crashed = make(chan struct{})
@@ -137,6 +126,12 @@
 	}
 }
 
+// Close stops the node for good.
+func (n *Node) Close() {
+	n.Crash()
+	n.address.release()
+}
+
 // Accepted returns the number of connections that the node has accepted.
 func (n *Node) Accepted() int {
 	n.mu.Lock()
--- a/internal/experiment/fakes/node_test.go
+++ b/internal/experiment/fakes/node_test.go
@@ -1,9 +1,11 @@
 package fakes
 
 import (
+	"errors"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(n.Crash)
+	t.Cleanup(n.Close)
 	return n, l
 }
 
@@ -75,6 +77,28 @@
 	}
 }
 
+// Nobody else gets the port of a crashed node, such as an outgoing connection whose local port the system selects. Guards
+// against restarts that fail with "address already in use".
+func TestCrashedNodeKeepsItsPort(t *testing.T) {
+	n, _ := startNode(t, Behaviour{})
+	other, _ := startNode(t, Behaviour{})
+	local, err := net.ResolveTCPAddr("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Crash()
+	c, err := (&net.Dialer{LocalAddr: local}).Dial("tcp", other.Addr())
+	if err == nil {
+		defer c.Close()
+	}
+	if !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("connection from the port of a crashed node: got error %v, want %v", err, syscall.EADDRINUSE)
+	}
+	if err := n.Start(); err != nil {
+		t.Errorf("restart: got error %v, want none", err)
+	}
+}
+
 // A crashed node refuses connections, and listens on the same address after a restart. A node rejects requests when its
 // queue is full.
 func TestNodeCrashAndFullQueue(t *testing.T) {
--- a/internal/experiment/fakes/responder.go
+++ b/internal/experiment/fakes/responder.go
@@ -16,11 +16,11 @@
 	Name  string
 	Group string // group of nodes that share idempotency keys
 
-	ledger *Ledger
-	work   time.Duration
+	ledger  *Ledger
+	work    time.Duration
+	address *reservedAddress
 
-	mu          sync.Mutex // guards the fields below
-	address     string
+	mu          sync.Mutex   // guards the fields below
 	listener    net.Listener // nil: the responder has crashed
 	connections map[net.Conn]struct{}
 	random      *rand.Rand
@@ -33,27 +33,27 @@
 
 // StartResponderAt starts a responder at an address, which must be a loopback one.
 func StartResponderAt(address, name, group string, ledger *Ledger, seed uint64, work time.Duration) (*Responder, error) {
-	if err := checkLoopback(address); err != nil {
+	reserved, err := reserveAddress(address)
+	if err != nil {
 		return nil, err
 	}
 	r := &Responder{
-		Name: name, Group: group, ledger: ledger, work: work, address: address, random: rand.New(rand.NewPCG(seed, responderStream)),
+		Name: name, Group: group, ledger: ledger, work: work, address: reserved, random: rand.New(rand.NewPCG(seed, responderStream)),
 	}
 	return r, r.Start()
 }
 
 // Addr returns the address that the responder listens on, also after a crash.
-func (r *Responder) Addr() string { return r.address }
+func (r *Responder) Addr() string { return r.address.address }
 
 // Start starts the responder, or restarts it after a Crash.
 func (r *Responder) Start() error {
-	listener, err := net.Listen("tcp", r.address)
+	listener, err := r.address.listen()
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	r.listener = listener
-	r.address = listener.Addr().String()
 	r.connections = map[net.Conn]struct{}{}
 	r.mu.Unlock()
 	go fcgi.Serve(&responderListener{listener, r}, http.HandlerFunc(r.serve))
@@ -74,6 +74,12 @@
 	}
 }
 
+// Close stops the responder for good.
+func (r *Responder) Close() {
+	r.Crash()
+	r.address.release()
+}
+
 // responderListener is a net.Listener that records the connections of a responder.
 type responderListener struct {
 	net.Listener
