Uploads: a host that stops reading ends the attempt within the timeout

Cause: copyStream bounded a blocked write by the route's pace alone, 10 s and up to a quarter more. While it is blocked the gateway reads no further, so the client's last byte waits in the sockets, and no deadline is set.

Change: upstream.UploadPace bounds a blocked write of a streamed body by the request's timeout, in the platform's protocol, for both transports and for the part that precedes the stream. The host has not had the last byte, so the client gets a 503 with the proof. Plain routes keep the pace of their file.

TestUploadToHangingHostEndsWithinTimeout and TestUploadToHangingResponderEndsWithinTimeout fail without it (the attempt ends by its context, after 20 s) and pass with it.

--- a/internal/body/pace.go
+++ b/internal/body/pace.go
@@ -61,6 +61,9 @@
 	deadline    time.Time
 }
 
+// LazyTimeout returns the timeout with which a LazyDeadline is never later than limit.
+func LazyTimeout(limit time.Duration) time.Duration { return limit * 4 / 5 }
+
 // Reset ensures that the deadline is between timeout and 5/4 of timeout from now. An error of SetDeadline is ignored:
 // it means that the connection is closed, and the next operation returns it.
 func (d *LazyDeadline) Reset(now time.Time, timeout time.Duration) {
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -37,7 +37,10 @@
 	Tenant    int       // number of the tenant in the pools of the route
 	Duplicate bool      // the client marks the request as one that it has sent before
 	Deadline  time.Time // when the response is due
-	Key       string    // requests with the same key go to the same pool of a split; "": a random pool
+	// Timeout is the time from the last byte of the request to its Deadline. It is known while a streamed body is arriving,
+	// when the time of that byte is not; 0: unknown.
+	Timeout time.Duration
+	Key     string // requests with the same key go to the same pool of a split; "": a random pool
 
 	bodyArrived  chan struct{} // receives an item once the last byte of a streamed body has arrived
 	dueAfterBody atomic.Int64  // due time after a streamed body has arrived, as the time since processStart; 0: unknown
--- a/internal/frontend/ticket.go
+++ b/internal/frontend/ticket.go
@@ -150,7 +150,10 @@
 
 // SetReceived sets the time at which the last byte of the request was received; the timeout starts then. If the body is
 // streamed, it is the time at which the buffered part was received, and SetBodyReceived is called later.
-func (t *Ticket) SetReceived(at time.Time) { t.Deadline = t.responseDue(at) }
+func (t *Ticket) SetReceived(at time.Time) {
+	t.Deadline = t.responseDue(at)
+	t.Timeout = t.Deadline.Sub(at)
+}
 
 // SetBodyReceived sets the time at which the last byte of a streamed body was received. It is called after the request
 // has been passed to the engine.
--- a/internal/upstream/fastcgi/roundtrip.go
+++ b/internal/upstream/fastcgi/roundtrip.go
@@ -68,7 +68,7 @@
 	}
 	// The dial, or the writes of other requests, may have taken long, so check again whether the request may be sent.
 	isSendable := func() bool { return x.MayWrite() && c.isCurrent() }
-	timeout := upstream.Streams(x, &defaultStreams).Pace.IdleTimeout
+	timeout := upstream.UploadPace(x, &defaultStreams).IdleTimeout
 	written, err := c.writeIf(isSendable, records, timeout)
 	if err == errNotSendable {
 		// Proof: nothing was written.
--- a/internal/upstream/fastcgi/upload.go
+++ b/internal/upstream/fastcgi/upload.go
@@ -61,7 +61,7 @@
 // request. A failed write closes the connection, which readLoop detects.
 func (u *upload) copyStream(c *conn, k *call, buf []byte) {
 	stream := u.request.Body.Stream()
-	timeout := upstream.Streams(u.request, &defaultStreams).Pace.IdleTimeout
+	timeout := upstream.UploadPace(u.request, &defaultStreams).IdleTimeout
 	content := buf[fastcgi.HeaderBytes:min(len(buf), fastcgi.HeaderBytes+fastcgi.MaxUnpaddedBytes)]
 	for {
 		n, err := stream.Read(content)
--- a/internal/upstream/fastcgi/upload_test.go
+++ b/internal/upstream/fastcgi/upload_test.go
@@ -3,11 +3,15 @@
 import (
 	"errors"
 	"net"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"dunemoor/balancer"
 	"dunemoor/internal/body"
 	"dunemoor/internal/body/bodytest"
+	"dunemoor/internal/engine"
 	"dunemoor/internal/fastcgi"
 	"dunemoor/internal/testutil"
 )
@@ -133,3 +137,22 @@
 		})
 	}
 }
+
+// A responder hangs within an upload, with as much of the body in the sockets as they hold. Guards against a response that
+// is late by the pace that responders may have otherwise.
+func TestUploadToHangingResponderEndsWithinTimeout(t *testing.T) {
+	ln := testutil.Listen(t, "127.0.0.1:0", nil)
+	defer ln.Close()
+	_, h := newTestHost(t, ln.Addr().String())
+	part := strings.Repeat("x", 32<<10)
+	const parts = 1024 // more than the sockets hold
+	x := newTestRequest("POST", "/", "")
+	source := bodytest.NewSource(true, slices.Repeat([]string{part}, parts)...)
+	x.Body = body.NewStreamed([]byte(uploadStart), body.NewStream(source, int64(len(uploadStart)+parts*len(part))))
+	x.Timeout = 100 * time.Millisecond
+	x.Route = &engine.Route{Streams: &engine.Streams{Pace: body.Pace{IdleTimeout: 2 * testutil.WaitTimeout}}}
+	result, _, _ := attempt(h, x)
+	if result.HasResponse || result.Outcome != balancer.ConnectFailed {
+		t.Errorf("got response %t, outcome %v, want ConnectFailed", result.HasResponse, result.Outcome)
+	}
+}
--- a/internal/upstream/http1/request.go
+++ b/internal/upstream/http1/request.go
@@ -54,7 +54,7 @@
 	if !upstream.IsPlain(x) && x.Body.Buffered() {
 		return x.WriteBy
 	}
-	byPace := time.Now().Add(upstream.Streams(x, &defaultStreams).Pace.IdleTimeout)
+	byPace := time.Now().Add(upstream.UploadPace(x, &defaultStreams).IdleTimeout)
 	if x.WriteBy.IsZero() || byPace.Before(x.WriteBy) {
 		return byPace
 	}
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -114,7 +114,7 @@
 
 // copyStream sends a stream to its end, through buf.
 func (u *upload) copyStream(stream *body.Stream, buf []byte) error {
-	meter := body.Meter{Pace: upstream.Streams(u.request, &defaultStreams).Pace}
+	meter := body.Meter{Pace: upstream.UploadPace(u.request, &defaultStreams)}
 	deadline := body.LazyDeadline{SetDeadline: u.conn.SetWriteDeadline}
 	isChunked := u.request.Body.Len() < 0
 	content := buf[httpwire.ChunkPrefixBytes : len(buf)-httpwire.ChunkSuffixBytes]
--- a/internal/upstream/http1/upload_test.go
+++ b/internal/upstream/http1/upload_test.go
@@ -8,7 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"dunemoor/balancer"
 	"dunemoor/internal/body"
@@ -152,3 +156,22 @@
 		})
 	}
 }
+
+// A host hangs within an upload. The client may have sent its last byte already, which waits in the buffers of sockets as
+// the gateway reads no further, so the attempt ends within the request's timeout, with the proof that the request never
+// ran. Guards against a response that is late by the pace that hosts may have otherwise.
+func TestUploadToHangingHostEndsWithinTimeout(t *testing.T) {
+	ln := testutil.Listen(t, "127.0.0.1:0", shrinkBuffer(syscall.SO_RCVBUF))
+	defer ln.Close()
+	transport := newTestTransport()
+	transport.dialer.Control = shrinkBuffer(syscall.SO_SNDBUF)
+	h := newTestHost(transport, ln.Addr().String())
+	part := strings.Repeat("x", 32<<10)
+	const parts = 64 // more than the sockets hold
+	x := newUploadRequest(int64(len(uploadStart)+parts*len(part)), bodytest.NewSource(true, slices.Repeat([]string{part}, parts)...))
+	x.Timeout = 100 * time.Millisecond
+	x.Route = &engine.Route{Streams: &engine.Streams{Pace: body.Pace{IdleTimeout: 2 * testutil.WaitTimeout}}}
+	if got, _ := attempt(t, h, x); got != balancer.ConnectFailed {
+		t.Errorf("got outcome %v, want ConnectFailed", got)
+	}
+}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -19,6 +19,19 @@
 	return x.Route.Streams
 }
 
+// UploadPace returns the pace that a host must keep while a request is sent to it. If the body is streamed in the platform's
+// protocol, a write may not be blocked for longer than the request's timeout. While it is, the gateway reads no further, and
+// the client's last byte may be in the buffers of the sockets already: the response is due within the timeout after that
+// byte, whether or not the gateway has read it.
+func UploadPace(x *engine.Request, defaults *engine.Streams) body.Pace {
+	pace := Streams(x, defaults).Pace
+	isStreamed := !x.Body.Buffered()
+	if isStreamed && !IsPlain(x) && x.Timeout > 0 {
+		pace.IdleTimeout = min(pace.IdleTimeout, body.LazyTimeout(x.Timeout))
+	}
+	return pace
+}
+
 // ResponseLimits returns the pace that a host must keep while it sends the body of a response, and the time at which the
 // last byte is due. due is zero if only the pace limits the body. The pace has no minimum rate where the request's
 // deadline applies to the header section only, as an event stream may be silent for long.
