fakes: one listener type for the fake hosts that crash and restart

Cause: Node and Responder each kept their listener and their connections, with the same steps for start, accept and crash.

Change: crashListener does it for both, over the reserved address. No change of behavior.

--- a/internal/experiment/fakes/node.go
+++ b/internal/experiment/fakes/node.go
@@ -56,19 +56,16 @@
 	IgnoresTokens atomic.Bool
 
 	ledger    *Ledger
-	address   *reservedAddress
+	listener  *crashListener
 	behaviour atomic.Pointer[Behaviour]
 	inFlight  atomic.Int64
 
-	mu          sync.Mutex   // guards the fields below
-	listener    net.Listener // nil: the node has crashed
-	connections map[net.Conn]struct{}
-	startedAt   time.Time
-	starts      int
-	cores       chan struct{} // semaphore of requests in execution
-	crashed     chan struct{} // closed by Crash
-	random      *rand.Rand
-	accepted    int // number of accepted connections
+	mu        sync.Mutex // guards the fields below
+	startedAt time.Time
+	starts    int
+	cores     chan struct{} // semaphore of requests in execution
+	crashed   chan struct{} // closed by Crash
+	random    *rand.Rand
 }
 
 // StartNode starts a node on a free port of 127.0.0.1.
@@ -78,33 +75,31 @@
 
 // StartNodeAt starts a node at an address, which must be a loopback one.
 func StartNodeAt(address, name, group string, ledger *Ledger, seed uint64, b Behaviour) (*Node, error) {
-	reserved, err := reserveAddress(address)
+	listener, err := newCrashListener(address)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{Name: name, Group: group, ledger: ledger, random: rand.New(rand.NewPCG(seed, nodeStream)), address: reserved}
+	n := &Node{Name: name, Group: group, ledger: ledger, random: rand.New(rand.NewPCG(seed, nodeStream)), listener: listener}
 	n.behaviour.Store(&b)
 	return n, n.Start()
 }
 
 // Addr returns the address that the node listens on, also after a crash.
-func (n *Node) Addr() string { return n.address.address }
+func (n *Node) Addr() string { return n.listener.address.address }
 
 // Behave changes the node's behaviour.
 func (n *Node) Behave(b Behaviour) { n.behaviour.Store(&b) }
 
 // Start starts the node, or restarts it after a Crash.
 func (n *Node) Start() error {
-	listener, err := n.address.listen()
+	listener, err := n.listener.start()
 	if err != nil {
 		return err
 	}
 	n.mu.Lock()
-	n.listener = listener
 	n.startedAt = time.Now()
 	n.starts++
 	n.crashed = make(chan struct{})
-	n.connections = map[net.Conn]struct{}{}
 	n.cores = make(chan struct{}, max(1, n.behaviour.Load().Cores))
 	n.mu.Unlock()
 	go n.accept(listener)
@@ -113,31 +108,22 @@
 
 // Crash stops the node like the crash of a process: connections are reset and new ones are refused.
 func (n *Node) Crash() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.listener == nil {
+	if !n.listener.crash() {
 		return
 	}
-	n.listener.Close()
-	n.listener = nil
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	close(n.crashed)
-	for c := range n.connections {
-		reset(c)
-	}
 }
 
 // Close stops the node for good.
 func (n *Node) Close() {
 	n.Crash()
-	n.address.release()
+	n.listener.address.release()
 }
 
 // Accepted returns the number of connections that the node has accepted.
-func (n *Node) Accepted() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.accepted
-}
+func (n *Node) Accepted() int { return n.listener.numAccepted() }
 
 // startedMS returns the time of the last restart in Unix milliseconds, or 0 for a node that was never restarted, which
 // is considered warm.
@@ -150,41 +136,18 @@
 	return n.startedAt.UnixMilli()
 }
 
-// reset closes a connection with a reset.
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
-
 func (n *Node) accept(listener net.Listener) {
 	for {
 		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		if !n.addConnection(listener, c) {
-			reset(c)
+		if !n.listener.add(listener, c) {
 			return
 		}
 		go func() {
 			n.serve(c)
-			n.mu.Lock()
-			delete(n.connections, c)
-			n.mu.Unlock()
+			n.listener.remove(c)
 		}()
 	}
 }
-
-// addConnection adds an accepted connection. It returns false if the node has crashed meanwhile.
-func (n *Node) addConnection(listener net.Listener, c net.Conn) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.listener != listener {
-		return false
-	}
-	n.connections[c] = struct{}{}
-	n.accepted++
-	return true
-}
--- a/internal/experiment/fakes/responder.go
+++ b/internal/experiment/fakes/responder.go
@@ -16,14 +16,12 @@
 	Name  string
 	Group string // group of nodes that share idempotency keys
 
-	ledger  *Ledger
-	work    time.Duration
-	address *reservedAddress
+	ledger   *Ledger
+	work     time.Duration
+	listener *crashListener
 
-	mu          sync.Mutex   // guards the fields below
-	listener    net.Listener // nil: the responder has crashed
-	connections map[net.Conn]struct{}
-	random      *rand.Rand
+	mu     sync.Mutex
+	random *rand.Rand // guarded by mu
 }
 
 // StartResponder starts a responder on a free port of 127.0.0.1. work is the mean execution time of a request.
@@ -33,51 +31,36 @@
 
 // StartResponderAt starts a responder at an address, which must be a loopback one.
 func StartResponderAt(address, name, group string, ledger *Ledger, seed uint64, work time.Duration) (*Responder, error) {
-	reserved, err := reserveAddress(address)
+	listener, err := newCrashListener(address)
 	if err != nil {
 		return nil, err
 	}
 	r := &Responder{
-		Name: name, Group: group, ledger: ledger, work: work, address: reserved, random: rand.New(rand.NewPCG(seed, responderStream)),
+		Name: name, Group: group, ledger: ledger, work: work, listener: listener, random: rand.New(rand.NewPCG(seed, responderStream)),
 	}
 	return r, r.Start()
 }
 
 // Addr returns the address that the responder listens on, also after a crash.
-func (r *Responder) Addr() string { return r.address.address }
+func (r *Responder) Addr() string { return r.listener.address.address }
 
 // Start starts the responder, or restarts it after a Crash.
 func (r *Responder) Start() error {
-	listener, err := r.address.listen()
+	listener, err := r.listener.start()
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	r.listener = listener
-	r.connections = map[net.Conn]struct{}{}
-	r.mu.Unlock()
 	go fcgi.Serve(&responderListener{listener, r}, http.HandlerFunc(r.serve))
 	return nil
 }
 
 // Crash stops the responder like the crash of a process: connections are reset and new ones are refused.
-func (r *Responder) Crash() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.listener == nil {
-		return
-	}
-	r.listener.Close()
-	r.listener = nil
-	for c := range r.connections {
-		reset(c)
-	}
-}
+func (r *Responder) Crash() { r.listener.crash() }
 
 // Close stops the responder for good.
 func (r *Responder) Close() {
 	r.Crash()
-	r.address.release()
+	r.listener.address.release()
 }
 
 // responderListener is a net.Listener that records the connections of a responder.
@@ -92,14 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
-	r := l.responder
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.listener != l.Listener {
-		reset(c)
+	if !l.responder.listener.add(l.Listener, c) {
 		return nil, net.ErrClosed
 	}
-	r.connections[c] = struct{}{}
 	return c, nil
 }
 
