--- a/internal/body/pace.go
+++ b/internal/body/pace.go
@@ -53,6 +53,9 @@
 	return nil
 }
 
+// lazySlackDivisor is the part of a timeout by which a LazyDeadline may be later: one in lazySlackDivisor.
+const lazySlackDivisor = 4
+
 // LazyDeadline sets the deadline of a connection for many short operations in turn. It sets a deadline that is up to
 // a quarter later than requested, and keeps it while it is within that tolerance, since setting a deadline costs
 // about as much as transferring a kilobyte of data.
@@ -62,12 +65,14 @@
 }
 
 // LazyTimeout returns the timeout with which a LazyDeadline is never later than limit.
-func LazyTimeout(limit time.Duration) time.Duration { return limit * 4 / 5 }
+func LazyTimeout(limit time.Duration) time.Duration {
+	return limit * lazySlackDivisor / (lazySlackDivisor + 1)
+}
 
 // Reset ensures that the deadline is between timeout and 5/4 of timeout from now. An error of SetDeadline is ignored:
 // it means that the connection is closed, and the next operation returns it.
 func (d *LazyDeadline) Reset(now time.Time, timeout time.Duration) {
-	slack := timeout / 4
+	slack := timeout / lazySlackDivisor
 	left := d.deadline.Sub(now)
 	if timeout <= left && left <= timeout+slack {
 		return
--- a/internal/upstream/fastcgi/upload.go
+++ b/internal/upstream/fastcgi/upload.go
@@ -57,8 +57,7 @@
 	u.copyStream(c, k, *buf)
 }
 
-// copyStream sends the stream to its end, through buf, and calls setSent once the responder may have received the whole
-// request. A failed write closes the connection, which readLoop detects.
+// copyStream sends the stream to its end, through buf. A failed write closes the connection, which readLoop detects.
 func (u *upload) copyStream(c *conn, k *call, buf []byte) {
 	stream := u.request.Body.Stream()
 	timeout := upstream.UploadPace(u.request, &defaultStreams).IdleTimeout
@@ -68,9 +67,7 @@
 		if n > 0 {
 			written, writeErr := writeStdin(c, k, buf, n, timeout)
 			u.progress.ContentWritten(written)
-			if u.progress.MayBeComplete() {
-				c.setSent(k)
-			}
+			u.reportProgress(c, k)
 			if writeErr != nil {
 				return
 			}
@@ -78,9 +75,7 @@
 		if err == io.EOF {
 			written, _ := c.write(fastcgi.AppendStreamEnd(buf[:0], fastcgi.Stdin, k.id), timeout)
 			u.progress.EndWritten(written)
-			if u.progress.MayBeComplete() {
-				c.setSent(k)
-			}
+			u.reportProgress(c, k)
 			return
 		}
 		if err != nil {
@@ -93,6 +88,13 @@
 	}
 }
 
+// reportProgress calls setSent once the responder may have received the whole request.
+func (u *upload) reportProgress(c *conn, k *call) {
+	if u.progress.MayBeComplete() {
+		c.setSent(k)
+	}
+}
+
 // writeStdin writes a STDIN record with n bytes of content, and returns how much of the content was written. In buf the
 // content follows the space for the record header.
 func writeStdin(c *conn, k *call, buf []byte, n int, timeout time.Duration) (written int, err error) {
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -38,9 +38,8 @@
 var defaultStreams = engine.Streams{HeaderDeadlineOnly: true, Pace: body.Pace{IdleTimeout: maxHeaderTime}}
 
 // readResponse reads the header section of the final response and the buffered part of its body, see the table in
-// responsebody.go. The error is errMalformedResponse if the
-// response is invalid, is too long, does not arrive in time or has a body whose end can't be determined, and otherwise an
-// error of the connection.
+// responsebody.go. The error is errMalformedResponse if the response is invalid, is too long, does not arrive in time or has
+// a body whose end can't be determined, and otherwise an error of the connection.
 func (c *conn) readResponse(x *engine.Request, up *upload) (response engine.Response, err error) {
 	defer c.setReadTimeout(0)
 	for {
--- a/internal/upstream/http1/upload.go
+++ b/internal/upstream/http1/upload.go
@@ -25,9 +25,11 @@
 // upload sends the streamed part of a request's body while the gateway waits for the response. It runs in a goroutine of
 // its own, which stop ends. That goroutine does not read the buffered part, which is freed when the attempt has ended.
 type upload struct {
-	conn      *conn
-	request   *engine.Request
-	waits     bool          // whether the host has to send a 100 response first
+	conn    *conn
+	request *engine.Request
+	// needsContinue is whether the upload waits for a 100 response of the host.
+	needsContinue bool
+
 	continued chan struct{} // receives an item when the host has sent a 100 response
 	quit      chan struct{} // closed by stop
 	quitOnce  sync.Once
@@ -43,7 +45,7 @@
 // startUpload starts the upload of a request. If the body is buffered there is nothing to send, and the upload has ended.
 func startUpload(c *conn, x *engine.Request) *upload {
 	u := &upload{
-		conn: c, request: x, waits: expectsContinue(x), progress: upstream.NewUploadProgress(x.Body),
+		conn: c, request: x, needsContinue: expectsContinue(x), progress: upstream.NewUploadProgress(x.Body),
 		continued: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}),
 	}
 	if x.Body.Buffered() {
@@ -82,7 +84,7 @@
 
 func (u *upload) run() {
 	defer close(u.done)
-	if u.waits && !u.awaitContinue() {
+	if u.needsContinue && !u.awaitContinue() {
 		u.err = body.ErrConsumed
 		return
 	}
