experiment scale: the measured program listens on an address of its own

Change: the listener is on 127.0.0.84, as outgoing connections on the loopback network have 127.0.0.1.

--- a/cmd/experiment/scale_config.go
+++ b/cmd/experiment/scale_config.go
@@ -34,11 +34,15 @@
 // memoryNote is the note in reports that explains the figures of processes.
 const memoryNote = "memory_mb = 4096, so that the garbage collector is not under pressure; 1 MB is 2^20 bytes; CPU is that of all threads, in ticks of 10 ms"
 
+// listenerHost is the address of the measured program's listener. Its port is free from here until the program listens, and
+// an outgoing connection on the loopback network, which has the address 127.0.0.1, must not get it meanwhile.
+const listenerHost = "127.0.0.84"
+
 // configHead returns the beginning of a configuration. Its memory limit is so high that the garbage collector doesn't
 // run more often because of it: the measurement shows the resources that a size needs, not the behavior under memory
 // pressure.
 func configHead() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", listenerHost+":0")
 	if err != nil {
 		return "", err
 	}
