--- a/review/6/case6/main.go
+++ b/review/6/case6/main.go
@@ -20,6 +20,9 @@
 	conns = 60
 	parts = 3
 	pause = 100 * time.Millisecond
+	// restarts is how often the gateway is restarted, and load how long the web server has sent requests before.
+	restarts = 5
+	load     = 1500 * time.Millisecond
 )
 
 func main() { kit.Main(play) }
@@ -40,35 +43,20 @@
 	if err != nil {
 		return kit.NotRun, err
 	}
-	g, err := c.Start("depot-1", path)
-	if err != nil {
-		return kit.NotRun, err
-	}
-	if err := c.Await("the gateway serves", func() bool { return kit.Health(web) == http.StatusOK }); err != nil {
-		return kit.NotRun, err
-	}
-	s := &server{c: c}
-	for k := range conns {
-		w, err := kit.DialFastCGI(cgi)
+	s := &server{c: c, running: running}
+	lost := 0
+	for range restarts {
+		n, err := s.restart(path, web, cgi)
 		if err != nil {
 			return kit.NotRun, err
 		}
-		defer w.Close()
-		s.running.Go(func() { s.serve(k, w) })
+		lost += n
 	}
-	time.Sleep(3 * time.Second)
-	killed := time.Now()
-	if c.Trouble {
-		g.Signal(syscall.SIGTERM)
-		time.Sleep(killAfter)
-		killed = time.Now()
-		if !g.Ended() {
-			g.Signal(syscall.SIGKILL)
-		}
+	c.Logf("RESULT: requests answered: %d; unanswered: %d; crossed a close: %d", s.answered, lost, s.crossed)
+	if lost > 0 {
+		return kit.Broken, nil
 	}
-	s.stop.Store(true)
-	s.running.Wait()
-	return s.judge(running, killed)
+	return kit.Held, nil
 }
 
 const file = `
@@ -103,14 +91,51 @@
 
 // server is the web server.
 type server struct {
-	c       *kit.Case
-	stop    atomic.Bool
-	running sync.WaitGroup
+	c                 *kit.Case
+	running           *kit.Hosts
+	answered, crossed int
+	stop              atomic.Bool
+	clients           sync.WaitGroup
 
 	mu       sync.Mutex
 	requests []request
 }
 
+// restart starts the gateway, sends requests over new connections, ends the gateway as the platform does, and returns how many
+// requests were lost. Without the trouble the web server rests before the gateway ends.
+func (s *server) restart(path, web, cgi string) (lost int, err error) {
+	g, err := s.c.Start("depot-1", path)
+	if err != nil {
+		return 0, err
+	}
+	if err := s.c.Await("the gateway serves", func() bool { return kit.Health(web) == http.StatusOK }); err != nil {
+		return 0, err
+	}
+	s.stop.Store(false)
+	s.requests = nil
+	for k := range conns {
+		w, err := kit.DialFastCGI(cgi)
+		if err != nil {
+			return 0, err
+		}
+		defer w.Close()
+		s.clients.Go(func() { s.serve(k, w) })
+	}
+	time.Sleep(load)
+	if !s.c.Trouble {
+		s.stop.Store(true)
+		s.clients.Wait()
+	}
+	g.Signal(syscall.SIGTERM)
+	if !g.Wait(killAfter) {
+		g.Signal(syscall.SIGKILL)
+	}
+	killed := time.Now()
+	s.stop.Store(true)
+	s.clients.Wait()
+	return s.judge(killed), nil
+}
+
 // request is what the web server saw of a request.
 type request struct {
 	name           string
@@ -123,7 +148,7 @@
 	for n := 0; !s.stop.Load() && w.Failed() == nil; n++ {
 		var page sync.WaitGroup
 		for part := range parts {
-			page.Go(func() { s.exchange(w, fmt.Sprintf("conn%d-page%d-%d", k, n, part)) })
+			page.Go(func() { s.exchange(w, fmt.Sprintf("conn%d-page%d-%d-%d", k, n, part, s.c.Since())) })
 		}
 		page.Wait()
 		time.Sleep(pause)
@@ -146,29 +171,24 @@
 	s.mu.Unlock()
 }
 
-// judge counts the requests without an answer: those that a host has run, and those that SIGKILL found. One that was
-// closed before SIGKILL and run by no host may have crossed the close, and is left out.
-func (s *server) judge(running *kit.Hosts, killed time.Time) (kit.Verdict, error) {
+// judge counts the requests without an answer: those that a host has run, and those that SIGKILL found. One whose connection
+// ended before and that no host has run may have crossed the close, and is left out.
+func (s *server) judge(killed time.Time) (lost int) {
 	run := map[string]bool{}
-	for _, a := range running.Arrivals() {
+	for _, a := range s.running.Arrivals() {
 		run[a.ID] = true
 	}
-	answered, lost, crossed := 0, 0, 0
 	for _, x := range s.requests {
 		atKill := x.written.Before(killed) && !x.ended.Before(killed)
 		switch {
 		case x.status != 0:
-			answered++
+			s.answered++
 		case run[x.name] || atKill:
 			lost++
 			s.c.Logf("lost: %s, written %v, ended without an answer %v later; run by a host: %v, at SIGKILL: %v", x.name, s.c.At(x.written), x.ended.Sub(x.written), run[x.name], atKill)
 		default:
-			crossed++
+			s.crossed++
 		}
 	}
-	s.c.Logf("RESULT: requests answered: %d; unanswered: %d; crossed a close: %d", answered, lost, crossed)
-	if lost > 0 {
-		return kit.Broken, nil
-	}
-	return kit.Held, nil
+	return lost
 }
