FastCGI frontend: a connection is closed after all of its last responses

Cause: request.finish removed its request from the connection and from the decoder, and wrote its last records after that. Of several requests that ended together the last one to be removed found the connection empty and closed it, while another had not written its response yet.

Fix: a connection carries a request until its END_REQUEST is written, and only the goroutine that reads the connection closes it: it reads once more, serves what has arrived, and closes for writing first. The same cause stood in the check for idle connections (a response that the web server reads late), in a truncated response beside another, in the close of the longest idle connection by the goroutine that accepts, and in closes over unread bytes, which reset.

--- a/internal/fastcgi/scanner.go
+++ b/internal/fastcgi/scanner.go
@@ -32,6 +32,11 @@
 // truncated.
 func (s *Scanner) AtRecordBoundary() bool { return !s.inRecord && s.rawBytes == 0 }
 
+// mayBeginRequest reports whether the input so far ends within the header of a record, or within a BEGIN_REQUEST.
+func (s *Scanner) mayBeginRequest() bool {
+	return s.rawBytes > 0 || s.inRecord && s.header.Type == BeginRequest
+}
+
 // Next returns the next event and the rest of b after it. For RecordContent, part is the content, as a subslice of b.
 // The error is ErrVersion. After an error the Scanner must not be used any more.
 func (s *Scanner) Next(b []byte) (event Event, part, rest []byte, err error) {
--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -62,6 +62,10 @@
 // NumOpen returns the number of requests that have not ended.
 func (s *Server) NumOpen() int { return s.requests.len() }
 
+// MayBeginRequest reports whether the input of Feed so far ends within a record that may begin a request. It must only
+// be called by the goroutine that calls Feed.
+func (s *Server) MayBeginRequest() bool { return s.demux.scanner.mayBeginRequest() }
+
 // RequestEnded removes a request whose END_REQUEST has been written or is about to be written. After that the web
 // server may reuse its id.
 func (s *Server) RequestEnded(id uint16) { s.requests.remove(id) }
--- a/internal/frontend/fastcgi/conn.go
+++ b/internal/frontend/fastcgi/conn.go
@@ -25,7 +25,8 @@
 	requestTimeout = 2500 * time.Millisecond
 	// idleTimeout is how long a connection without a request is kept open. Web servers keep a few such connections.
 	idleTimeout = 5 * time.Minute
-	// checkInterval is the interval at which incomplete requests and idle connections are checked for timeouts.
+	// checkInterval is the interval at which incomplete requests and idle connections are checked for timeouts. During
+	// Shutdown or a drain, a connection on which something was read more recently may still get a request.
 	checkInterval = 250 * time.Millisecond
 
 	// stallTimeout is the maximum time for a write to the web server. It is also the maximum time for which reading a
@@ -46,20 +47,29 @@
 // errPeerGone is the error of a request that the web server has aborted, or whose connection has been closed.
 var errPeerGone = errors.New("fastcgi: web server has left")
 
-// conn is a connection from a web server. It implements fastcgi.ServerHandler.
+// conn is a connection from a web server. It implements fastcgi.ServerHandler. It is closed by the goroutine that runs
+// serve, except after a failed write and by Server.Close; closing.go has the rules.
 type conn struct {
 	server  *Server
 	nc      net.Conn
 	options *ListenOptions
 	decoder *fastcgi.Server // decodes the records of the connection
 
+	discardInput bool // no further records can be decoded; only used by the goroutine of serve
+
 	writeMu     sync.Mutex // serializes writes; guards writeFailed
 	writeFailed bool
 
-	mu       sync.Mutex // guards the fields below
-	requests map[uint16]*request
-	closing  bool // the connection is closed once its open requests have ended
-	lastRead time.Time
+	mu          sync.Mutex // guards the fields below
+	requests    map[uint16]*request
+	ending      int    // number of requests that are no longer in requests, but whose last records are not written yet
+	closing     bool   // the connection is closed once it carries no request
+	evicted     bool   // the connection is closed to free its descriptor, without lingering
+	interrupted bool   // interruptRead has been called since the last check of mayClose
+	withheldEnd []byte // END_REQUEST of a truncated response that the end of the connection replaces; nil if there is none
+	lastRead    time.Time
+
+	beforeLastWrite func(id uint16) // called in tests after a request was removed, before its last records are written
 }
 
 // newConn returns a conn for an accepted connection.
@@ -69,30 +79,39 @@
 	return c
 }
 
-// serve reads from the connection until it is closed. Requests that are still open at that time are canceled.
+// serve reads from the connection until it is closed. If the web server has closed it, requests that are still open are
+// canceled.
 func (c *conn) serve() {
 	defer c.server.remove(c)
 	buf := make([]byte, readBufferSize)
 	for {
-		c.nc.SetReadDeadline(time.Now().Add(checkInterval))
-		n, err := c.nc.Read(buf)
+		n, err := c.read(buf)
 		if n > 0 {
-			c.setLastRead(time.Now())
-			if recordErr := c.decoder.Feed(buf[:n]); recordErr != nil {
-				c.stopReading(recordErr)
-				return
-			}
+			c.receive(buf[:n])
 		}
 		if err != nil && !isTimeout(err) {
 			c.closeAndCancel()
 			return
 		}
-		if !c.checkTimeouts() {
+		c.endOverdueRequests()
+		if (n == 0 || c.discardInput) && c.mayClose() {
+			c.lingeringClose()
 			return
 		}
 	}
 }
 
+// receive decodes bytes that were read from the connection.
+func (c *conn) receive(b []byte) {
+	c.setLastRead(time.Now())
+	if c.discardInput {
+		return
+	}
+	if err := c.decoder.Feed(b); err != nil {
+		c.failIncompleteRequests(err)
+	}
+}
+
 // isTimeout reports whether an error was caused by an exceeded deadline.
 func isTimeout(err error) bool {
 	var netErr net.Error
@@ -106,37 +125,19 @@
 	c.lastRead = at
 }
 
-// idleSince returns the time at which bytes were last read from the connection. idle reports whether there is no open
-// request whose parameters are complete.
-func (c *conn) idleSince() (lastRead time.Time, idle bool) {
+// sinceLastRead returns the time since bytes were last read from the connection.
+func (c *conn) sinceLastRead() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastRead, len(c.requests) == 0
+	return time.Since(c.lastRead)
 }
 
-// checkTimeouts ends incomplete requests that have timed out. It closes an idle connection after idleTimeout, or at
-// once during Shutdown or a drain, and reports whether the connection stays open.
-func (c *conn) checkTimeouts() bool {
-	now := time.Now()
-	lastRead, noRequests := c.idleSince()
-	sinceLastRead := now.Sub(lastRead)
-	if sinceLastRead < checkInterval {
-		return true
-	}
-	incomplete := 0
-	c.decoder.ForEachIncomplete(func(id uint16, paramsComplete bool) {
-		incomplete++
-		if sinceLastRead >= requestTimeout {
-			c.timeOut(id, paramsComplete)
-		}
-	})
-	idle := noRequests && incomplete == 0
-	mayClose := sinceLastRead > idleTimeout || c.server.endsAfterResponse()
-	if idle && mayClose {
-		c.nc.Close()
-		return false
+// endOverdueRequests ends requests that are incomplete and have timed out.
+func (c *conn) endOverdueRequests() {
+	if c.sinceLastRead() < requestTimeout {
+		return
 	}
-	return true
+	c.decoder.ForEachIncomplete(c.timeOut)
 }
 
 // timeOut ends an incomplete request after a timeout. paramsComplete reports whether all of its parameters have
@@ -168,12 +169,12 @@
 	}
 }
 
-// stopReading is called if no further records can be decoded because of a protocol error. Complete requests are still
-// answered, and incomplete ones are answered with the error. Then the connection is closed.
-func (c *conn) stopReading(err error) {
-	c.mu.Lock()
-	c.closing = true
-	c.mu.Unlock()
+// failIncompleteRequests is called if no further records can be decoded because of a protocol error. Incomplete requests
+// are answered with the error. The connection is closed once the complete ones have been answered; until then its input
+// is discarded, in order to detect its end.
+func (c *conn) failIncompleteRequests(err error) {
+	c.discardInput = true
+	c.closeWhenIdle()
 	c.decoder.ForEachIncomplete(func(id uint16, _ bool) {
 		if r := c.find(id); r != nil {
 			r.stdin.CloseWrite(frontend.NewRequestError(http.StatusBadRequest, "%v", err))
@@ -182,13 +183,6 @@
 			c.writeError(id, http.StatusBadRequest, err.Error())
 		}
 	})
-	if _, noRequests := c.idleSince(); noRequests && c.decoder.NumOpen() == 0 {
-		c.nc.Close()
-	}
-	// Further input is discarded, in order to detect the end of the connection.
-	c.nc.SetReadDeadline(time.Time{})
-	io.Copy(io.Discard, c.nc)
-	c.closeAndCancel()
 }
 
 // peerHasClosed reports whether the kernel has received the web server's close of the connection, even if there are
@@ -254,7 +248,12 @@
 	}
 	c.mu.Lock()
 	c.requests[id] = r
+	withheld := c.withheldEnd
+	c.withheldEnd = nil
 	c.mu.Unlock()
+	if withheld != nil {
+		c.write(withheld, controlWriteTimeout) // the connection does not end yet
+	}
 	go r.serve(m, remoteAddr, paramsErr, time.Now())
 }
 
--- a/internal/frontend/fastcgi/response.go
+++ b/internal/frontend/fastcgi/response.go
@@ -174,9 +174,9 @@
 }
 
 // finish ends a request with the last part of its response and a single END_REQUEST, after which nothing is sent for
-// the request. A truncated response must be detectable as such. If the connection has no other request, the connection
-// is closed without the END_REQUEST. Otherwise the application status of the END_REQUEST is not 0, which is the only
-// other way to report it in FastCGI.
+// the request. A truncated response must be detectable as such. If the connection carries no other request, it is closed
+// without the END_REQUEST. Otherwise the application status of the END_REQUEST is not 0, which is the only other way to
+// report it in FastCGI.
 func (r *request) finish(last []byte) {
 	c := r.c
 	buf := outputBuffers.Get().(*[]byte)
@@ -194,27 +194,14 @@
 		out = fastcgi.AppendStreamEnd(out, fastcgi.Stdout, r.id)
 	}
 	out = fastcgi.AppendEndRequest(out, r.id, end)
-	alone, closing := c.removeRequest(r)
-	// RequestEnded must precede the write: the web server may reuse the id as soon as it has read the END_REQUEST.
-	c.decoder.RequestEnded(r.id)
-	if truncated && alone {
-		c.nc.Close()
-		return
+	alone := c.startEnding(r)
+	if c.beforeLastWrite != nil {
+		c.beforeLastWrite(r.id)
 	}
-	c.write(out, stallTimeout)
-	if alone && closing && c.decoder.NumOpen() == 0 {
-		c.nc.Close()
+	if truncated && alone {
+		c.withholdEnd(out)
+	} else {
+		c.write(out, stallTimeout)
 	}
-}
-
-// removeRequest removes a request that ends. alone reports whether the connection has no other request, and closing
-// whether the connection is to be closed once its open requests have ended.
-func (c *conn) removeRequest(r *request) (alone, closing bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.requests, r.id)
-	if !r.keepConn || c.server.endsAfterResponse() {
-		c.closing = true
-	}
-	return len(c.requests) == 0, c.closing
+	c.ended()
 }
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -19,6 +19,9 @@
 	// (killGrace in package http1), which is not taken into account here; Admission.Stop still makes all responses due
 	// before the kill.
 	shutdownTimeout = 3600 * time.Millisecond
+	// maxEvicting is the maximum number of connections beyond Options.MaxConns, while idle ones are being closed for them.
+	// An idle connection is closed at once, unless a request has arrived on it.
+	maxEvicting = 8
 	// shutdownPollInterval is the interval at which Shutdown checks whether all connections are closed.
 	shutdownPollInterval = 10 * time.Millisecond
 )
@@ -42,8 +45,9 @@
 	maxConns  int
 	listeners frontend.Listeners[ListenOptions]
 
-	mu    sync.Mutex // guards conns
-	conns map[*conn]struct{}
+	mu       sync.Mutex         // guards conns and evicting
+	conns    map[*conn]struct{} // all open connections
+	evicting map[*conn]struct{} // those that are being closed to free their descriptors
 
 	shutdownEndsConns atomic.Bool // Shutdown has closed the listeners; connections are closed after their responses
 	closed            atomic.Bool
@@ -51,7 +55,12 @@
 
 // New returns a Server that submits its requests to admission.
 func New(admission *frontend.Admission, o Options) *Server {
-	return &Server{admission: admission, maxConns: o.MaxConns, conns: map[*conn]struct{}{}}
+	return &Server{
+		admission: admission,
+		maxConns:  o.MaxConns,
+		conns:     map[*conn]struct{}{},
+		evicting:  map[*conn]struct{}{},
+	}
 }
 
 // SetListenOptions sets the options of a listener. They apply to connections that are accepted afterwards.
@@ -66,48 +75,44 @@
 // accept starts serving a new connection, or closes it if there are too many.
 func (s *Server) accept(nc net.Conn, o *ListenOptions) {
 	c := newConn(s, nc, o)
-	victim, added := s.add(c)
-	if victim != nil {
-		victim.nc.Close()
-	}
-	if !added {
+	if !s.add(c) {
 		nc.Close()
 		return
 	}
 	go c.serve()
 }
 
-// add adds a connection. If there are too many, it removes an idle one, which is returned as victim for the caller to
-// close. added is false if the caller must close the new connection.
-func (s *Server) add(c *conn) (victim *conn, added bool) {
+// add adds a connection. If there are too many, it evicts the one that has been idle longest. It returns false if the
+// new connection must be closed because there is no idle one, or because too many are being evicted.
+func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	full := len(s.conns) >= s.maxConns
-	if full {
-		victim = s.longestIdle()
+	if s.closed.Load() {
+		return false
 	}
-	if victim != nil {
-		delete(s.conns, victim)
-		full = false
-	}
-	if full || s.closed.Load() {
-		return victim, false
+	if len(s.conns)-len(s.evicting) >= s.maxConns {
+		victim := s.longestIdle()
+		if victim == nil || len(s.evicting) >= maxEvicting {
+			return false
+		}
+		s.evicting[victim] = struct{}{}
+		victim.evict()
 	}
 	s.conns[c] = struct{}{}
-	return victim, true
+	return true
 }
 
-// longestIdle returns the idle connection, as defined by idleSince, from which nothing has been read for the longest
-// time. The caller holds mu. This connection is closed if there are too many, so that peers that connect and send
-// nothing can't lock out others.
+// longestIdle returns the idle connection, as defined by isIdle, from which nothing has been read for the longest time,
+// or nil if there is none. The caller holds mu. This connection is evicted if there are too many, so that peers that
+// connect and send nothing can't lock out others.
 func (s *Server) longestIdle() (longest *conn) {
-	var lastRead time.Time
+	var longestSince time.Time
 	for c := range s.conns {
-		read, idle := c.idleSince()
-		idleLonger := longest == nil || read.Before(lastRead)
+		since, idle := c.isIdle()
+		idleLonger := longest == nil || since.Before(longestSince)
 		if idle && idleLonger {
 			longest = c
-			lastRead = read
+			longestSince = since
 		}
 	}
 	return longest
@@ -118,6 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	delete(s.evicting, c)
 }
 
 // open returns all open connections.
@@ -144,8 +150,8 @@
 }
 
 // Shutdown stops the server gracefully. It accepts connections for frontend.BacklogGrace, then closes each connection
-// after its responses, and the remaining ones at shutdownTimeout. A connection without a request is closed by its own
-// goroutine in checkTimeouts, because no other goroutine has access to a partial request that it may have read. The
+// after its responses, and the remaining ones at shutdownTimeout. A connection is closed by its own goroutine, because no
+// other goroutine has access to a partial request that it may have read. The
 // time at which responses are due is set by Admission.Stop, which Shutdown of the http1 server calls.
 func (s *Server) Shutdown() {
 	start := time.Now()
