FastCGI frontend: the shutdown follows the longest deadline, and ends busy connections

Change: frontend.ShutdownSchedule has the times for both protocols (the constants move there from http1, with their values). From 0.1 s before all responses are due, requests that begin on a FastCGI connection are rejected as OVERLOADED, which proves that they have not run; the connection is closed after its last response. What this gives up: requests of the last 0.3 s on a connection that is always busy are rejected, where they were cut.

--- a/internal/fastcgi/server.go
+++ b/internal/fastcgi/server.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"sync/atomic"
 )
 
 const (
@@ -39,6 +40,8 @@
 	demux    demux
 	requests *requestTable[serverRequest]
 	reply    []byte // reusable buffer for the records that are passed to Reply
+
+	rejectsNew atomic.Bool // RejectNew has been called
 }
 
 // serverRequest is a request from its BEGIN_REQUEST until RequestEnded. It is only accessed by the goroutine that calls
@@ -70,6 +73,9 @@
 // server may reuse its id.
 func (s *Server) RequestEnded(id uint16) { s.requests.remove(id) }
 
+// RejectNew makes the Server reject each request that begins from now on, with the status Overloaded.
+func (s *Server) RejectNew() { s.rejectsNew.Store(true) }
+
 // ForEachIncomplete calls f for each open request that has not been received completely. paramsComplete reports whether
 // its parameters have.
 func (s *Server) ForEachIncomplete(f func(id uint16, paramsComplete bool)) {
@@ -187,7 +193,8 @@
 	return nil // other records have no meaning for a responder, and are ignored
 }
 
-// beginRequest opens a request, or rejects it because of its role or because there are too many requests.
+// beginRequest opens a request, or rejects it because of its role, because there are too many requests, or after
+// RejectNew.
 func (s *Server) beginRequest(id uint16, body []byte) error {
 	begin, err := ParseBeginRequest(body)
 	if err != nil {
@@ -197,7 +204,7 @@
 		s.reject(id, UnknownRole)
 		return nil
 	}
-	if s.requests.len() >= MaxRequestsPerConn {
+	if s.requests.len() >= MaxRequestsPerConn || s.rejectsNew.Load() {
 		s.reject(id, Overloaded)
 		return nil
 	}
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -34,6 +34,8 @@
 	MaxHeaders int          // maximum number of header fields of a request on a plain route; 0 means unlimited
 	Limits     *Limits      // nil means that no limits apply
 
+	longestDeadline atomic.Int64 // a time.Duration
+
 	notReady     atomic.Bool                 // no endpoint list has been received yet
 	stopping     atomic.Bool                 // Stop has been called
 	drain        atomic.Pointer[drain.Drain] // the drain in progress, nil if there is none
--- a/internal/frontend/fastcgi/server.go
+++ b/internal/frontend/fastcgi/server.go
@@ -14,11 +14,6 @@
 )
 
 const (
-	// shutdownTimeout is the time after SIGTERM at which the last connections are closed. It is 0.1 s before the
-	// process is killed if the longest deadline is 3 s or more. With a shorter deadline the process is killed earlier
-	// (killGrace in package http1), which is not taken into account here; Admission.Stop still makes all responses due
-	// before the kill.
-	shutdownTimeout = 3600 * time.Millisecond
 	// maxEvicting is the maximum number of connections beyond Options.MaxConns, while idle ones are being closed for them.
 	// An idle connection is closed at once, unless a request has arrived on it.
 	maxEvicting = 8
@@ -149,21 +144,31 @@
 	}
 }
 
-// Shutdown stops the server gracefully. It accepts connections for frontend.BacklogGrace, then closes each connection
-// after its responses, and the remaining ones at shutdownTimeout. A connection is closed by its own goroutine, because no
-// other goroutine has access to a partial request that it may have read. The
-// time at which responses are due is set by Admission.Stop, which Shutdown of the http1 server calls.
+// Shutdown stops the server gracefully. It accepts connections for frontend.BacklogGrace, and then closes each connection
+// once it carries no request. A connection may always carry one, if the web server sends several side by side; from
+// ShutdownSchedule.CloseIdle on, requests that begin are rejected as OVERLOADED, so that the connection can be closed
+// after the last response. The remaining connections are closed at ShutdownSchedule.Exit. The time at which responses
+// are due is set by Admission.Stop, which Shutdown of the http1 server calls.
 func (s *Server) Shutdown() {
-	start := time.Now()
+	schedule := s.admission.ScheduleShutdown()
 	time.Sleep(frontend.BacklogGrace)
 	s.listeners.CloseAll()
 	s.shutdownEndsConns.Store(true)
-	for time.Since(start) < shutdownTimeout && len(s.open()) > 0 {
-		time.Sleep(shutdownPollInterval)
+	s.awaitClosed(schedule.CloseIdle)
+	for _, c := range s.open() {
+		c.decoder.RejectNew()
 	}
+	s.awaitClosed(schedule.Exit)
 	s.Close()
 }
 
+// awaitClosed waits until all connections are closed, or until the given time.
+func (s *Server) awaitClosed(until time.Time) {
+	for time.Now().Before(until) && len(s.open()) > 0 {
+		time.Sleep(shutdownPollInterval)
+	}
+}
+
 // endsAfterResponse reports whether connections are closed after their responses because of Shutdown or a drain.
 func (s *Server) endsAfterResponse() bool {
 	return s.shutdownEndsConns.Load() || s.admission.DrainEndsConnections()
--- a/internal/frontend/http1/server.go
+++ b/internal/frontend/http1/server.go
@@ -18,12 +18,11 @@
 
 // Options are the options of a Server.
 type Options struct {
-	MaxConns        int           // number of client connections above which one without a request is closed
-	SpareConns      int           // number of connections beyond MaxConns before a new connection is closed at once
-	LongestDeadline time.Duration // longest deadline of all classes
-	PlainRoutes     bool          // there may be plain routes, for clients that don't use the platform's protocol
-	MaxHeaderBytes  int           // maximum size of a request's header section; 0 means defaultMaxHeaderBytes
-	SharedListeners bool          // another process accepts from the same sockets and takes over at Shutdown
+	MaxConns        int  // number of client connections above which one without a request is closed
+	SpareConns      int  // number of connections beyond MaxConns before a new connection is closed at once
+	PlainRoutes     bool // there may be plain routes, for clients that don't use the platform's protocol
+	MaxHeaderBytes  int  // maximum size of a request's header section; 0 means defaultMaxHeaderBytes
+	SharedListeners bool // another process accepts from the same sockets and takes over at Shutdown
 }
 
 // defaultMaxHeaderBytes is several times the size of any header section in the platform's protocol. It is limited
@@ -50,7 +49,6 @@
 	plainRoutes     bool
 	sharedListeners bool
 	maxHeaderBytes  int
-	longestDeadline atomic.Int64 // a time.Duration
 	listeners       frontend.Listeners[ListenOptions]
 	conns           connTable
 
@@ -75,14 +73,10 @@
 		lastRequestsTime:    defaultLastRequestsTime,
 	}
 	s.conns.evictionDone = sync.NewCond(&s.conns.mu)
-	s.SetLongestDeadline(o.LongestDeadline)
 	s.SetConnLimits(o.MaxConns, o.SpareConns)
 	return s
 }
 
-// SetLongestDeadline sets the longest deadline of all classes.
-func (s *Server) SetLongestDeadline(d time.Duration) { s.longestDeadline.Store(int64(d)) }
-
 // SetConnLimits sets the limit of client connections, and the number of spare connections beyond it before a new
 // connection is closed at once.
 func (s *Server) SetConnLimits(limit, spare int) { s.conns.setLimits(limit, spare) }
--- a/internal/frontend/http1/shutdown.go
+++ b/internal/frontend/http1/shutdown.go
@@ -8,40 +8,15 @@
 	"dunemoor/internal/frontend"
 )
 
-// Schedule of Shutdown. "Kill" is the time at which the process is expected to be killed. The steps after the listeners
-// are closed happen earlier if no connection is in use any more. With SharedListeners, the listeners are closed at
-// SIGTERM, and from then on connections are closed after their current or next response.
-//
-//	SIGTERM                         all responses are due at kill - 0.2 s, the health check fails
-//	SIGTERM + 0.6 s                 listeners are closed                      frontend.BacklogGrace
-//	kill - 0.5 s                    connections are closed after their        responseMargin + defaultLastRequestsTime
-//	                                current or next response, tunnels are
-//	                                closed
-//	kill - 0.3 s                    connections without a request are closed  responseMargin + closeIdleTime
-//	kill - 0.2 s                    all responses are due                     responseMargin
-//	kill - 0.05 s                   Shutdown returns                          exitMargin
-//	kill: SIGTERM + 0.7 s + the longest deadline (at most 3 s)                killGrace, maxKillDeadline
-//
-// The FastCGI server uses a fixed time instead, shutdownTimeout in package fastcgi.
+// Steps of Shutdown besides those of frontend.ShutdownSchedule. The steps after the listeners are closed happen earlier if
+// no connection is in use any more. With SharedListeners, the listeners are closed at SIGTERM, and from then on
+// connections are closed after their current or next response.
 const (
-	// The process is killed after SIGTERM plus killGrace plus the longest deadline, which counts as maxKillDeadline at
-	// most.
-	killGrace       = 700 * time.Millisecond
-	maxKillDeadline = 3 * time.Second
-	// responseMargin is the time before the kill at which all responses are due. It leaves time to write them even if
-	// the process shares a core.
-	responseMargin = 200 * time.Millisecond
-	// exitMargin is the time before the kill at which Shutdown returns, even if some responses are incomplete.
-	exitMargin = 50 * time.Millisecond
-
 	// defaultLastRequestsTime is the time before all responses are due from which connections are closed after their
-	// current or next response. It is short because clients use their connections for as long as they are open, and may
-	// have no other gateway. It is long enough that most connections in use carry a request in this time.
+	// current or next response, and at which tunnels are closed. It is short because clients use their connections for as
+	// long as they are open, and may have no other gateway. It is long enough that most connections in use carry a
+	// request in this time.
 	defaultLastRequestsTime = 300 * time.Millisecond
-	// closeIdleTime is the time before all responses are due at which connections without a request are closed. Most of
-	// the requests that are in flight at that time can still be answered.
-	closeIdleTime = 100 * time.Millisecond
-
 	// shutdownPollInterval is the interval at which Shutdown checks whether it can proceed to the next step.
 	shutdownPollInterval = 10 * time.Millisecond
 	// drainCloseInterval is the interval at which a drain closes connections without a request.
@@ -54,10 +29,8 @@
 // accepting immediately, and from then on closes each connection after its current or next response; clients that
 // reconnect are accepted by the process that takes over.
 func (s *Server) Shutdown() {
-	longestDeadline := time.Duration(s.longestDeadline.Load())
-	kill := time.Now().Add(killGrace + min(longestDeadline, maxKillDeadline))
-	responsesDue := kill.Add(-responseMargin)
-	s.admission.Stop(responsesDue)
+	schedule := s.admission.ScheduleShutdown()
+	s.admission.Stop(schedule.ResponsesDue)
 	s.shuttingDown.Store(true)
 	if s.sharedListeners {
 		s.shutdownEndsConns.Store(true)
@@ -65,17 +38,17 @@
 		time.Sleep(frontend.BacklogGrace)
 	}
 	s.closeListeners()
-	waitWhile(s.conns.inUse, responsesDue.Add(-s.lastRequestsTime))
+	waitWhile(s.conns.inUse, schedule.ResponsesDue.Add(-s.lastRequestsTime))
 	s.shutdownEndsConns.Store(true)
 	if s.sharedListeners {
 		s.conns.closeWaiting()
 	}
 	close(s.endTunnelsAndDelays)
-	waitWhile(s.conns.inUse, responsesDue.Add(-closeIdleTime))
+	waitWhile(s.conns.inUse, schedule.CloseIdle)
 	waitWhile(func() bool {
 		s.conns.closeWaiting()
 		return s.conns.busy()
-	}, kill.Add(-exitMargin))
+	}, schedule.Exit)
 	s.resetUnfinishedResponses()
 }
 
--- a/internal/frontend/http1/tunnel.go
+++ b/internal/frontend/http1/tunnel.go
@@ -105,10 +105,10 @@
 }
 
 // goAway closes the tunnel because the server shuts down. A WebSocket client is first sent a close frame, which must be
-// written within closeIdleTime. Shutdown closes all tunnels 0.5 s before the kill, or earlier.
+// written within frontend.CloseIdleTime. Shutdown closes all tunnels 0.5 s before the kill, or earlier.
 func (t *tunnel) goAway() {
 	if strings.EqualFold(t.protocol, "websocket") {
-		t.client.SetWriteDeadline(time.Now().Add(closeIdleTime))
+		t.client.SetWriteDeadline(time.Now().Add(frontend.CloseIdleTime))
 		t.client.TCPConn.Write(webSocketGoingAway)
 	}
 	t.close()
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -42,10 +42,10 @@
 // SetDrained.
 func StartAppliance(a *config.Appliance, rc *engine.RecordingConfig, newSource SourceFunc, drained map[string][]string) (*Gateway, error) {
 	g := newGateway(rand.Uint64(), a.Limits.Sockets, memoryBytes(a.Limits.MemoryMB), http1.Options{
-		LongestDeadline: longestDeadline(a),
-		PlainRoutes:     true,
-		MaxHeaderBytes:  a.Limits.HeadKB << 10,
+		PlainRoutes:    true,
+		MaxHeaderBytes: a.Limits.HeadKB << 10,
 	})
+	g.admission.SetLongestDeadline(longestDeadline(a))
 	g.admission.MaxHeaders = a.Limits.Headers
 	if newSource == nil {
 		newSource = func(_, addr string) Source { return discovery.NewWatcher(addr, false, 0) }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -36,10 +36,8 @@
 // StartPlatform starts a platform gateway that serves clients on ln.
 func StartPlatform(cfg *config.Platform, rc *engine.RecordingConfig, ln net.Listener) (*Gateway, error) {
 	shared := cfg.ClientsFD > 0
-	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), http1.Options{
-		LongestDeadline: longestPlatformDeadline(cfg),
-		SharedListeners: shared,
-	})
+	g := newGateway(cfg.Seed, cfg.Sockets, cfg.Memory(), http1.Options{SharedListeners: shared})
+	g.admission.SetLongestDeadline(longestPlatformDeadline(cfg))
 	p := &platform{sharesSocket: shared}
 	g.platform = p
 	p.transport = upstreamhttp1.NewTransport(upstreamhttp1.Options{
@@ -207,7 +205,7 @@
 		p.indexedClasses = old
 		return err
 	}
-	g.server.SetLongestDeadline(longestPlatformDeadline(cfg))
+	g.admission.SetLongestDeadline(longestPlatformDeadline(cfg))
 	return nil
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -117,7 +117,7 @@
 // keeps its list.
 func (g *Gateway) commit(c *configChange) {
 	g.commitPools(c)
-	g.server.SetLongestDeadline(longestDeadline(c.file))
+	g.admission.SetLongestDeadline(longestDeadline(c.file))
 	if l := g.admission.Limits; l.Clients != nil {
 		l.Clients.SetLimits(c.file.Limits.Clients)
 	}
