faulttest: the clock offset of fault cases works on arm64 too

Cause: BuildWithClockOffset replaced two files of package runtime that are built on amd64 only, so the offset reached no clock elsewhere.

Change: elsewhere timestub.go is replaced, which has time.now there. The check is as it was.

--- a/internal/experiment/faulttest/clock.go
+++ b/internal/experiment/faulttest/clock.go
@@ -7,11 +7,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 )
 
-// clockSource is the Go source that replaces the runtime's time.now by one that adds an offset to the wall clock.
-const clockSource = `//go:build linux && amd64
-
+// timeNowSource is the Go source of a time.now that adds an offset to the wall clock. It needs a declaration of time_real,
+// the real time, behind it.
+const timeNowSource = `
 package runtime
 
 import _ "unsafe" // for go:linkname
@@ -19,8 +20,6 @@
 //go:linkname wallJump
 var wallJump int64
 
-func time_real() (sec int64, nsec int32, mono int64)
-
 //go:linkname time_now time.now
 func time_now() (sec int64, nsec int32, mono int64) {
 	sec, nsec, mono = time_real()
@@ -28,31 +27,50 @@
 }
 `
 
-// Files of package runtime that are replaced, and the build tags.
+// Declarations of the real time that timeNowSource uses, in assembly on amd64 and in Go elsewhere.
 const (
-	runtimeClockGo       = "timeasm.go"
-	runtimeClockAssembly = "time_linux_amd64.s"
-	clockOffsetTags      = "failpoints jumps"
+	realTimeAssembly = "\nfunc time_real() (sec int64, nsec int32, mono int64)\n"
+	realTimeGo       = `
+func time_real() (sec int64, nsec int32, mono int64) {
+	sec, nsec = walltime()
+	return sec, nsec, nanotime()
+}
+`
 )
 
+// clockOffsetTags are the build tags of a program whose wall clock can have an offset.
+const clockOffsetTags = "failpoints jumps"
+
+// runtimeClockFiles returns the files of package runtime that are replaced to give the wall clock an offset, by name.
+func runtimeClockFiles(runtimeDir string) (map[string][]byte, error) {
+	if runtime.GOARCH != "amd64" {
+		return map[string][]byte{"timestub.go": []byte(timeNowSource + realTimeGo)}, nil
+	}
+	const assemblyFile = "time_linux_amd64.s"
+	assembly, err := os.ReadFile(filepath.Join(runtimeDir, assemblyFile))
+	if err != nil {
+		return nil, err
+	}
+	return map[string][]byte{
+		"timeasm.go": []byte(timeNowSource + realTimeAssembly),
+		assemblyFile: bytes.Replace(assembly, []byte("TEXT time·now<"), []byte("TEXT runtime·time_real<"), 1),
+	}, nil
+}
+
 // BuildWithClockOffset builds the program with a modified runtime whose wall clock has an offset, which
 // Gateway.SetClockOffset sets; test processes have no permission to set the clock of the machine. It returns the path of
-// the binary, which is in dir. It supports linux/amd64 only.
+// the binary, which is in dir. It supports Linux only.
 func BuildWithClockOffset(dir string) (string, error) {
 	goroot, err := exec.Command("go", "env", "GOROOT").Output()
 	if err != nil {
 		return "", fmt.Errorf("go env GOROOT: %w", err)
 	}
 	runtimeDir := filepath.Join(string(bytes.TrimSpace(goroot)), "src", "runtime")
-	assembly, err := os.ReadFile(filepath.Join(runtimeDir, runtimeClockAssembly))
+	files, err := runtimeClockFiles(runtimeDir)
 	if err != nil {
 		return "", err
 	}
-	assembly = bytes.Replace(assembly, []byte("TEXT time·now<"), []byte("TEXT runtime·time_real<"), 1)
-	overlay, err := writeOverlay(dir, runtimeDir, map[string][]byte{
-		runtimeClockGo:       []byte(clockSource),
-		runtimeClockAssembly: assembly,
-	})
+	overlay, err := writeOverlay(dir, runtimeDir, files)
 	if err != nil {
 		return "", err
 	}
