FastCGI frontend: a body that its host does not take no longer blocks other requests

Cause: the goroutine that reads a connection waits for room in the pipe of a body. How long it waits was decided before the wait, a minute if no other request was open; one that is sent meanwhile can't be seen while nothing is read. With other requests it was a second for each part of 16 KiB, without a bound on the sum.

Evidence: a trace on the old code had one blocked write of 11.98 s with a limit of 1 m 0 s, and 16,551 unread bytes in the socket behind it.

Fix: the pipe is extended by up to 1 MiB of the memory for request bodies, so that reading goes on; then the wait is 0.4 s at most (body.WaitBudget), counted over all parts while other requests are open, and the request whose body blocks is given up with 502. The timeout of a request that is read behind it starts when reading was blocked. What this gives up: an upload of more than some 1.1 MiB beyond the sockets fails after a pause of 0.4 s of its host, unless it is alone on its connection without KEEP_CONN.

The new tests failed with the old code: reading was blocked for 1m0s and, with a body of 80 KiB a second, 3m19s in all; the request behind the upload had no answer.

--- a/internal/body/pipe_test.go
+++ b/internal/body/pipe_test.go
@@ -84,3 +84,41 @@
 		}
 	})
 }
+
+// A pipe that is extended holds more while there is memory for it, and releases the memory once it is empty or closed.
+func TestPipeExtensionIsBoundedAndReleased(t *testing.T) {
+	const capacity = 10
+	reserved := func(b *Budget) int64 {
+		used, _ := b.Used(RequestBodies)
+		return used
+	}
+	write := func(p *Pipe) int {
+		b := make([]byte, 4*extensionStep)
+		return len(b) - len(p.TryWrite(b))
+	}
+	budget := NewBudget(1 << 30)
+	p := NewPipe(capacity)
+	p.ExtendFrom(budget, RequestBodies, 2*extensionStep)
+	if n := write(p); n != capacity+2*extensionStep || reserved(budget) != 2*extensionStep {
+		t.Errorf("wrote %d bytes with %d reserved, want %d with %d", n, reserved(budget), capacity+2*extensionStep, 2*extensionStep)
+	}
+	p.Read(make([]byte, capacity+2*extensionStep-1), time.Minute)
+	if n := reserved(budget); n != 2*extensionStep {
+		t.Errorf("%d bytes reserved with one byte left, want %d", n, 2*extensionStep)
+	}
+	p.Read(make([]byte, 1), time.Minute)
+	if n := reserved(budget); n != 0 {
+		t.Errorf("%d bytes reserved for an empty pipe, want 0", n)
+	}
+	write(p)
+	p.CloseRead()
+	if n := reserved(budget); n != 0 {
+		t.Errorf("%d bytes reserved after CloseRead, want 0", n)
+	}
+	scarce := NewBudget(1 << 10)
+	p = NewPipe(capacity)
+	p.ExtendFrom(scarce, RequestBodies, 2*extensionStep)
+	if n := write(p); n != capacity || reserved(scarce) != 0 {
+		t.Errorf("without memory: wrote %d bytes with %d reserved, want %d with none", n, reserved(scarce), capacity)
+	}
+}
--- a/internal/frontend/fastcgi/conn.go
+++ b/internal/frontend/fastcgi/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,17 +28,11 @@
 	// Shutdown or a drain, a connection on which something was read more recently may still get a request.
 	checkInterval = 250 * time.Millisecond
 
-	// stallTimeout is the maximum time for a write to the web server. It is also the maximum time for which reading a
-	// connection may be blocked by a body that its host does not read, if the connection has no other request.
+	// stallTimeout is the maximum time for a write to the web server.
 	stallTimeout = time.Minute
-	// sharedStallTimeout is the maximum time for which reading a connection may be blocked by a body that its host does
-	// not read, if other requests on the connection are blocked by it as well.
-	sharedStallTimeout = time.Second
 	// controlWriteTimeout is the maximum time for writing a record that the connection itself generates.
 	controlWriteTimeout = time.Second
 
-	// maxPipedBody is the maximum number of bytes of a body that are buffered until its host reads them.
-	maxPipedBody = 64 << 10
 	// readBufferSize is the size in bytes of the buffer for reading from a connection.
 	readBufferSize = 16 << 10
 )
@@ -55,7 +48,12 @@
 	options *ListenOptions
 	decoder *fastcgi.Server // decodes the records of the connection
 
-	discardInput bool // no further records can be decoded; only used by the goroutine of serve
+	// The following fields are only used by the goroutine of serve.
+
+	discardInput bool            // no further records can be decoded
+	waits        body.WaitBudget // how long reading may be blocked by bodies that their hosts don't read
+	blockedAt    time.Time       // when decoding the bytes of the last read was first blocked by a body; zero if it was not
+	behindSince  time.Time       // bytes that are read next may have arrived since then; zero if all had been read before
 
 	writeMu     sync.Mutex // serializes writes; guards writeFailed
 	writeFailed bool
@@ -88,6 +86,7 @@
 		n, err := c.read(buf)
 		if n > 0 {
 			c.receive(buf[:n])
+			c.updateBehindSince(n < len(buf))
 		}
 		if err != nil && !isTimeout(err) {
 			c.closeAndCancel()
@@ -240,7 +239,7 @@
 // Request implements fastcgi.ServerHandler. It starts a request whose parameters are complete. If err is not nil, the
 // parameters are too long, and the request is answered with an error.
 func (c *conn) Request(id uint16, params []byte, keepConn bool, err error) {
-	r := &request{c: c, id: id, stdin: body.NewPipe(maxPipedBody), keepConn: keepConn}
+	r := &request{c: c, id: id, stdin: c.stdinPipe(), keepConn: keepConn}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	m, remoteAddr, paramsErr := readMessage(params)
 	if err != nil {
@@ -254,37 +253,7 @@
 	if withheld != nil {
 		c.write(withheld, controlWriteTimeout) // the connection does not end yet
 	}
-	go r.serve(m, remoteAddr, paramsErr, time.Now())
-}
-
-// Body implements fastcgi.ServerHandler. It writes a part of a request's body, or its end, to the request's pipe.
-func (c *conn) Body(id uint16, part []byte, end bool) {
-	r := c.find(id)
-	if r == nil {
-		return
-	}
-	if end {
-		r.stdin.CloseWrite(io.EOF)
-		return
-	}
-	if r.stdin.Write(part, c.bodyStallTimeout()) != body.ErrPipeFull {
-		return
-	}
-	err := frontend.NewRequestError(http.StatusBadGateway, "its host takes the body too slowly, it may have been done")
-	r.cancelReason.Store(&err)
-	r.cancel()
-	r.stdin.CloseWrite(err)
-}
-
-// bodyStallTimeout returns how long a write to the pipe of a request may block. Other requests of the connection are
-// blocked during this time.
-func (c *conn) bodyStallTimeout() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.requests) > 1 {
-		return sharedStallTimeout
-	}
-	return stallTimeout
+	go r.serve(m, remoteAddr, paramsErr, c.arrivalTime())
 }
 
 // Abort implements fastcgi.ServerHandler. It cancels a request whose client has disconnected.
--- a/internal/frontend/fastcgi/request.go
+++ b/internal/frontend/fastcgi/request.go
@@ -16,10 +16,13 @@
 
 // request is a request on a connection. It exists from the end of its parameters until its END_REQUEST.
 type request struct {
-	c        *conn
-	id       uint16
-	stdin    *body.Pipe // the body, written as it arrives
-	keepConn bool       // the flag FCGI_KEEP_CONN is set: the connection stays open after the request
+	c     *conn
+	id    uint16
+	stdin *body.Pipe // the body, written as it arrives
+
+	bodyArrived time.Time // when the last byte of the body arrived; set before stdin ends with io.EOF
+
+	keepConn bool // the flag FCGI_KEEP_CONN is set: the connection stays open after the request
 
 	ctx          context.Context // canceled when the client disconnects, or by the gateway
 	cancel       context.CancelFunc
@@ -103,9 +106,11 @@
 		// Read the end of the body, or an extra byte, which is an error.
 		_, err = source.Read(make([]byte, 1))
 	}
+	received := time.Now()
 	switch {
 	case err == io.EOF:
 		t.Body = body.NewBuffered(buf[:n])
+		received = r.bodyArrived
 	case err != nil:
 		return err
 	case t.Route.Streams == nil:
@@ -113,7 +118,7 @@
 	default:
 		t.Body = body.NewStreamed(buf[:n], body.NewStream(source, length))
 	}
-	t.SetReceived(time.Now())
+	t.SetReceived(received)
 	return nil
 }
 
@@ -158,7 +163,7 @@
 		return 0, frontend.NewRequestError(http.StatusBadRequest, "STDIN is not as long as CONTENT_LENGTH says")
 	}
 	if ended && !s.ticket.Body.Buffered() {
-		s.ticket.SetBodyReceived(time.Now())
+		s.ticket.SetBodyReceived(s.request.bodyArrived)
 	}
 	return n, err
 }
