FastCGI responders: a slow client or a blocked write no longer delays other requests

Records waited for the writes of others without regard to deadline and client, and an attempt ended only with its own blocked write, even if its response was complete.

Fix: the wait is bounded by body.WaitBudget from the moment at which another request is started; the pipes of connections that may be shared are extended by up to 1 MiB of the memory for responses; a blocked connection gets no further request unless no other may be opened; the lock of writes is left when the attempt ends; a blocked write of the only request ends with it.

TestRequestIsCheckedAgainAfterWritesOfOthers limits the connections to one, so that its late request meets the blocked write.

Open: a write that is blocked in a record, beside other requests, ends with its timeout.

--- a/internal/frontend/fastcgi/conn.go
+++ b/internal/frontend/fastcgi/conn.go
@@ -239,7 +239,7 @@
 // Request implements fastcgi.ServerHandler. It starts a request whose parameters are complete. If err is not nil, the
 // parameters are too long, and the request is answered with an error.
 func (c *conn) Request(id uint16, params []byte, keepConn bool, err error) {
-	r := &request{c: c, id: id, stdin: c.stdinPipe(), keepConn: keepConn}
+	r := &request{c: c, id: id, stdin: c.newStdinPipe(keepConn), keepConn: keepConn}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	m, remoteAddr, paramsErr := readMessage(params)
 	if err != nil {
--- a/internal/frontend/fastcgi/stdin.go
+++ b/internal/frontend/fastcgi/stdin.go
@@ -21,10 +21,12 @@
 	maxPipeExtension = 1 << 20
 )
 
-// stdinPipe returns the pipe for the body of a request.
-func (c *conn) stdinPipe() *body.Pipe {
+// newStdinPipe returns the pipe for the body of a request. It is extended if the connection stays open after the request.
+func (c *conn) newStdinPipe(keepConn bool) *body.Pipe {
 	p := body.NewPipe(maxPipedBody)
-	p.ExtendFrom(c.server.admission.Bodies, body.RequestBodies, maxPipeExtension)
+	if keepConn {
+		p.ExtendFrom(c.server.admission.Bodies, body.RequestBodies, maxPipeExtension)
+	}
 	return p
 }
 
--- a/internal/upstream/fastcgi/call.go
+++ b/internal/upstream/fastcgi/call.go
@@ -1,6 +1,7 @@
 package fastcgi
 
 import (
+	"context"
 	"time"
 
 	"dunemoor/internal/body"
@@ -10,6 +11,9 @@
 const (
 	// maxStdoutBytes is how many bytes of a response are kept in memory until they are forwarded.
 	maxStdoutBytes = 64 << 10
+	// maxStdoutExtension is how many bytes more are kept, while there is memory for them, on a connection that may carry
+	// other requests.
+	maxStdoutExtension = 1 << 20
 	// abortWriteTimeout limits the time to write an ABORT_REQUEST record.
 	abortWriteTimeout = time.Second
 	// abortTimeout limits the time for a responder to end an aborted request on a connection that carries others.
@@ -30,16 +34,31 @@
 
 // startCall opens a request on the connection, or returns nil if the connection has ended.
 func (c *conn) startCall() *call {
-	k := &call{id: c.client.OpenRequest(), stdout: body.NewPipe(maxStdoutBytes), ended: make(chan struct{})}
+	k := &call{id: c.client.OpenRequest(), stdout: c.newStdoutPipe(), ended: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
 		return nil
 	}
 	c.calls[k.id] = k
+	c.congestion.requestStarted()
 	return k
 }
 
+// newStdoutPipe returns the pipe for the response to a request. It is extended if the connection may carry other requests,
+// which a client that reads slowly would delay.
+func (c *conn) newStdoutPipe() *body.Pipe {
+	t := c.host.transport
+	t.mu.Lock()
+	mayShare := c.capacity() > 1
+	t.mu.Unlock()
+	p := body.NewPipe(maxStdoutBytes)
+	if mayShare {
+		p.ExtendFrom(t.bodyBudget, body.ResponseBodies, maxStdoutExtension)
+	}
+	return p
+}
+
 // forgetCall releases a request of which nothing was written.
 func (c *conn) forgetCall(k *call) {
 	c.mu.Lock()
@@ -84,10 +103,12 @@
 // does not end the request, its id stays in use, so that late records are not attributed to another request. abort runs
 // in a goroutine of its own.
 func (c *conn) abort(k *call) {
-	c.write(fastcgi.AppendStreamEnd(nil, fastcgi.AbortRequest, k.id), abortWriteTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	c.write(ctx, fastcgi.AppendStreamEnd(nil, fastcgi.AbortRequest, k.id), abortWriteTimeout)
 	select {
 	case <-k.ended:
-	case <-time.After(abortTimeout):
+	case <-ctx.Done():
 		c.drain()
 	}
 }
--- a/internal/upstream/fastcgi/conn.go
+++ b/internal/upstream/fastcgi/conn.go
@@ -1,6 +1,7 @@
 package fastcgi
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -15,9 +16,8 @@
 	// maxRequestsPerConn limits the requests that a connection carries at once, as a response that its client reads
 	// slowly delays the others.
 	maxRequestsPerConn = 64
-	// maxStall is how long a client that does not read its response may delay the other requests on a connection.
-	// maxStallSingle applies instead if the connection carries no other request.
-	maxStall       = time.Second
+	// maxStallSingle is how long a client that does not read its response may block the reading of a connection that
+	// carries no other request. With other requests it is as long as body.WaitBudget allows.
 	maxStallSingle = time.Minute
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 16 << 10
@@ -60,8 +60,9 @@
 	draining  bool // whether the connection accepts no more requests
 	idleSince time.Time
 
-	writeMu  sync.Mutex // held while records are written
-	writeErr error      // first error of a write; guarded by writeMu
+	writeLock  chan struct{} // has an item while records are written
+	writeErr   error         // first error of a write; guarded by writeLock
+	congestion congestion
 
 	mu    sync.Mutex
 	calls map[uint16]*call // open requests; guarded by mu
@@ -70,6 +71,8 @@
 
 func newConn(h *host, netConn net.Conn, generation int) *conn {
 	c := &conn{Conn: netConn, host: h, generation: generation, calls: map[uint16]*call{}, idleSince: time.Now()}
+	c.writeLock = make(chan struct{}, 1)
+	c.congestion.joined = make(chan struct{}, 1)
 	c.client = fastcgi.NewClient(c)
 	return c
 }
@@ -143,9 +146,11 @@
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
+			c.congestion.hasWaited = false
 			if feedErr := c.client.Feed(b[:n]); feedErr != nil {
 				err = feedErr
 			}
+			c.congestion.readEnded(n < len(b))
 		}
 		if err != nil {
 			c.connectionEnded(err)
@@ -177,24 +182,23 @@
 	}
 }
 
-// Stdout forwards a part of a response. If the client does not read it within maxStall, or maxStallSingle if the
-// connection carries no other request, the request is abandoned, as others must not be delayed.
+// Stdout forwards a part of a response. If the client does not read it in time, the request is abandoned, as others must
+// not be delayed.
 func (c *conn) Stdout(id uint16, part []byte) {
 	c.mu.Lock()
 	k := c.calls[id]
-	wait := maxStallSingle
-	if len(c.calls) > 1 {
-		wait = maxStall
-	}
+	isShared := len(c.calls) > 1
 	isNeeded := k != nil && !k.abandoned
 	c.mu.Unlock()
 	if !isNeeded {
 		return
 	}
-	if k.stdout.Write(part, wait) == body.ErrPipeFull {
+	if rest := k.stdout.TryWrite(part); len(rest) > 0 && !c.awaitRoom(k, rest) {
 		k.stdout.CloseWrite(body.ErrPipeFull)
 		c.abandon(k)
+		return
 	}
+	c.congestion.forwarded(len(part), isShared)
 }
 
 // Stderr ignores a responder's error output, as responders keep a log of their own.
@@ -221,29 +225,29 @@
 func (c *conn) UnsolicitedRecord() { c.drain() }
 
 // write writes complete records and returns how many bytes it has written. An error closes the connection, as the
-// responder would take later records for the rest of an incomplete one.
-func (c *conn) write(records []byte, timeout time.Duration) (int, error) {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	return c.writeLocked(records, timeout)
+// responder would take later records for the rest of an incomplete one. While the records wait for the writes of other
+// requests, ctx is observed; if it ends the error is errNotSendable.
+func (c *conn) write(ctx context.Context, records []byte, timeout time.Duration) (int, error) {
+	return c.writeIf(ctx, func() bool { return true }, records, timeout)
 }
 
 // writeIf is write for the first records of a request. As they may have waited long for the writes of other requests,
 // isSendable is called right before they are written. If it returns false the error is errNotSendable.
-func (c *conn) writeIf(isSendable func() bool, records []byte, timeout time.Duration) (int, error) {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	if !isSendable() {
+func (c *conn) writeIf(ctx context.Context, isSendable func() bool, records []byte, timeout time.Duration) (int, error) {
+	select {
+	case c.writeLock <- struct{}{}:
+	case <-ctx.Done():
+		return 0, errNotSendable
+	}
+	defer func() { <-c.writeLock }()
+	if ctx.Err() != nil || !isSendable() {
 		return 0, errNotSendable
 	}
-	return c.writeLocked(records, timeout)
-}
-
-// writeLocked is write with writeMu held.
-func (c *conn) writeLocked(records []byte, timeout time.Duration) (int, error) {
 	if c.writeErr != nil {
 		return 0, c.writeErr
 	}
+	c.congestion.startWrite()
+	defer c.congestion.endWrite()
 	c.SetWriteDeadline(time.Now().Add(timeout))
 	n, err := c.Conn.Write(records)
 	if err != nil {
--- a/internal/upstream/fastcgi/conn_test.go
+++ b/internal/upstream/fastcgi/conn_test.go
@@ -191,6 +191,7 @@
 	transport, h := newTestHost(t, r.Addr().String())
 	waitForMultiplexing(t, transport, h)
 	c := waitForOnlyConn(t, transport, h)
+	transport.SetLimits(1, 0) // otherwise the late request may get a connection of its own
 	var others sync.WaitGroup
 	others.Go(func() { checkGoodResponse(t, h, "/stall", "") })
 	testutil.WaitUntil(t, "the first request is sent", func() bool { return r.requests.Load() == 2 })
--- a/internal/upstream/fastcgi/getconn.go
+++ b/internal/upstream/fastcgi/getconn.go
@@ -12,7 +12,7 @@
 func (t *Transport) getConn(ctx context.Context, h *host) (c *conn, reused bool, err error) {
 	t.mu.Lock()
 	for {
-		if c, reused := t.reserveRequest(h); c != nil {
+		if c, reused := t.reserveRequest(h, false); c != nil {
 			t.mu.Unlock()
 			return c, reused, nil
 		}
@@ -30,8 +30,12 @@
 		t.mu.Lock()
 	}
 	if !t.makeRoom(h) {
+		c, reused := t.reserveRequest(h, true)
 		t.mu.Unlock()
-		return nil, false, upstream.ErrTooManyConns
+		if c == nil {
+			return nil, false, upstream.ErrTooManyConns
+		}
+		return c, reused, nil
 	}
 	t.conns.CountOpened()
 	target := dialTarget{process: h.process, generation: h.generation}
@@ -54,10 +58,11 @@
 }
 
 // reserveRequest reserves capacity for a request on the first connection to a host that has any, or returns nil if none
-// has. t.mu is held.
-func (t *Transport) reserveRequest(h *host) (c *conn, reused bool) {
+// has. Connections that are blocked by other requests are only used if blockedToo is set. t.mu is held.
+func (t *Transport) reserveRequest(h *host, blockedToo bool) (c *conn, reused bool) {
 	for _, c := range t.conns.Conns(h) {
-		if !c.draining && c.inFlight < c.capacity() {
+		isUsable := blockedToo || !c.congestion.isBlocked()
+		if isUsable && !c.draining && c.inFlight < c.capacity() {
 			c.inFlight++
 			reused = c.reused
 			c.reused = true
--- a/internal/upstream/fastcgi/roundtrip.go
+++ b/internal/upstream/fastcgi/roundtrip.go
@@ -69,10 +69,19 @@
 	// The dial, or the writes of other requests, may have taken long, so check again whether the request may be sent.
 	isSendable := func() bool { return x.MayWrite() && c.isCurrent() }
 	timeout := upstream.UploadPace(x, &defaultStreams).IdleTimeout
-	written, err := c.writeIf(isSendable, records, timeout)
+	stopClosing := context.AfterFunc(ctx, func() {
+		if !c.carriesOthers(k) {
+			c.Conn.Close() // ends the write
+		}
+	})
+	defer stopClosing()
+	written, err := c.writeIf(ctx, isSendable, records, timeout)
 	if err == errNotSendable {
 		// Proof: nothing was written.
 		c.forgetCall(k)
+		if ctx.Err() != nil {
+			return engine.Ended(upstream.OutcomeUnsent(ctx)), false
+		}
 		return engine.Ended(balancer.NotSent), false
 	}
 	if isComplete && written >= contentEnd {
--- a/internal/upstream/fastcgi/upload.go
+++ b/internal/upstream/fastcgi/upload.go
@@ -1,7 +1,9 @@
 package fastcgi
 
 import (
+	"context"
 	"io"
+	"sync"
 	"time"
 
 	"dunemoor/internal/body"
@@ -13,24 +15,44 @@
 // upload sends the streamed part of a request's body while the gateway waits for the response. It runs in a goroutine of
 // its own, which stop ends. That goroutine does not read the buffered part, which is freed when the attempt has ended.
 type upload struct {
+	conn           *conn
+	call           *call
 	request        *engine.Request
+	timeout        time.Duration           // of a write
 	progress       upstream.UploadProgress // what was written to the responder; used only by the upload's goroutine
-	done           chan struct{}           // closed when the upload has ended
 	failedByClient bool                    // whether the body could not be read from the client; set before done is closed
+
+	ctx    context.Context // ends when the upload is stopped
+	cancel context.CancelFunc
+	done   chan struct{} // closed when the upload has ended
+
+	mu      sync.Mutex // guards the fields below
+	writing bool       // a write is in progress
+	stopped bool       // no further write may begin
 }
 
 // startUpload starts the upload of a request. If the body is buffered there is nothing to send, and the upload has ended.
 func startUpload(c *conn, k *call, x *engine.Request) *upload {
-	u := &upload{request: x, progress: upstream.NewUploadProgress(x.Body), done: make(chan struct{})}
+	u := &upload{
+		conn:     c,
+		call:     k,
+		request:  x,
+		timeout:  upstream.UploadPace(x, &defaultStreams).IdleTimeout,
+		progress: upstream.NewUploadProgress(x.Body),
+		done:     make(chan struct{}),
+	}
+	u.ctx, u.cancel = context.WithCancel(context.Background())
 	if x.Body.Buffered() {
+		u.cancel()
 		close(u.done)
 	} else {
-		go u.run(c, k)
+		go u.run()
 	}
 	return u
 }
 
-// stop ends the upload if it is still running.
+// stop ends the upload if it is still running. A write in progress can't be taken back: the connection is closed if it
+// carries no other request, and otherwise stop waits for the write or its timeout.
 func (u *upload) stop() {
 	select {
 	case <-u.done:
@@ -38,67 +60,94 @@
 	default:
 	}
 	u.request.Body.Stream().Close() // ends a read from the client
+	u.cancel()                      // ends the wait for the writes of other requests
+	u.mu.Lock()
+	u.stopped = true
+	isWriting := u.writing
+	u.mu.Unlock()
+	if isWriting && !u.conn.carriesOthers(u.call) {
+		u.conn.Conn.Close()
+	}
 	<-u.done
 }
 
-func (u *upload) run(c *conn, k *call) {
+func (u *upload) run() {
 	defer close(u.done)
-	stream := u.request.Body.Stream()
-	if stream.Consume() != nil {
+	defer u.cancel()
+	if u.request.Body.Stream().Consume() != nil {
 		return
 	}
-	budget := c.host.transport.bodyBudget
+	budget := u.conn.host.transport.bodyBudget
 	buf := budget.AcquireBuffer()
 	if buf == nil {
-		c.abandon(k)
+		u.conn.abandon(u.call)
 		return
 	}
 	defer budget.ReleaseBuffer(buf)
-	u.copyStream(c, k, *buf)
+	u.copyStream(*buf)
 }
 
 // copyStream sends the stream to its end, through buf. A failed write closes the connection, which readLoop detects.
-func (u *upload) copyStream(c *conn, k *call, buf []byte) {
+func (u *upload) copyStream(buf []byte) {
 	stream := u.request.Body.Stream()
-	timeout := upstream.UploadPace(u.request, &defaultStreams).IdleTimeout
 	content := buf[fastcgi.HeaderBytes:min(len(buf), fastcgi.HeaderBytes+fastcgi.MaxUnpaddedBytes)]
 	for {
 		n, err := stream.Read(content)
 		if n > 0 {
-			written, writeErr := writeStdin(c, k, buf, n, timeout)
+			written, writeErr := u.writeStdin(buf, n)
 			u.progress.ContentWritten(written)
-			u.reportProgress(c, k)
+			u.reportProgress()
 			if writeErr != nil {
 				return
 			}
 		}
 		if err == io.EOF {
-			written, _ := c.write(fastcgi.AppendStreamEnd(buf[:0], fastcgi.Stdin, k.id), timeout)
+			written, _ := u.write(fastcgi.AppendStreamEnd(buf[:0], fastcgi.Stdin, u.call.id))
 			u.progress.EndWritten(written)
-			u.reportProgress(c, k)
+			u.reportProgress()
 			return
 		}
 		if err != nil {
 			// The responder must not take an incomplete body for a complete one.
 			u.failedByClient = err != body.ErrConsumed
-			c.abandon(k)
-			k.stdout.CloseWrite(err)
+			u.conn.abandon(u.call)
+			u.call.stdout.CloseWrite(err)
 			return
 		}
 	}
 }
 
 // reportProgress calls setSent once the responder may have received the whole request.
-func (u *upload) reportProgress(c *conn, k *call) {
+func (u *upload) reportProgress() {
 	if u.progress.MayBeComplete() {
-		c.setSent(k)
+		u.conn.setSent(u.call)
 	}
 }
 
 // writeStdin writes a STDIN record with n bytes of content, and returns how much of the content was written. In buf the
 // content follows the space for the record header.
-func writeStdin(c *conn, k *call, buf []byte, n int, timeout time.Duration) (written int, err error) {
-	fastcgi.AppendHeader(buf[:0], fastcgi.Header{Type: fastcgi.Stdin, ID: k.id, ContentBytes: n})
-	recordBytes, err := c.write(buf[:fastcgi.HeaderBytes+n], timeout)
+func (u *upload) writeStdin(buf []byte, n int) (written int, err error) {
+	fastcgi.AppendHeader(buf[:0], fastcgi.Header{Type: fastcgi.Stdin, ID: u.call.id, ContentBytes: n})
+	recordBytes, err := u.write(buf[:fastcgi.HeaderBytes+n])
 	return max(0, recordBytes-fastcgi.HeaderBytes), err
 }
+
+// write writes a record, unless the upload has been stopped.
+func (u *upload) write(record []byte) (int, error) {
+	defer u.endWrite()
+	return u.conn.writeIf(u.ctx, u.startWrite, record, u.timeout)
+}
+
+// startWrite is called right before a write, and reports whether it may begin.
+func (u *upload) startWrite() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.writing = !u.stopped
+	return u.writing
+}
+
+func (u *upload) endWrite() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.writing = false
+}
