FastCGI responders: no request is started on a connection that is being closed

Fix: the check marks the connection as ended under the lock that starts requests, and as draining for those that choose a connection. A request that chose it before ends with the proof that nothing was sent.

TestNoRequestIsStartedOnConnectionThatIsClosed failed without the mark: the responder received the request.

--- a/internal/upstream/fastcgi/call.go
+++ b/internal/upstream/fastcgi/call.go
@@ -89,16 +89,37 @@
 	c.mu.Lock()
 	wasAbandoned := k.abandoned
 	k.abandoned = true
-	isOnlyCall := len(c.calls) <= 1
 	c.mu.Unlock()
-	switch {
-	case isOnlyCall:
-		c.Conn.Close()
-	case !wasAbandoned:
+	if !c.closeUnlessShared(k) && !wasAbandoned {
 		go c.abort(k)
 	}
 }
 
+// closeUnlessShared closes the connection if it carries no request other than k, and reports whether it did. No request
+// is started on it from then on: one that is started between the check and the close would be cut off.
+func (c *conn) closeUnlessShared(k *call) (closed bool) {
+	c.mu.Lock()
+	others := len(c.calls)
+	if c.calls[k.id] == k {
+		others--
+	}
+	if others == 0 && c.err == nil {
+		c.err = errConnEnded
+	}
+	c.mu.Unlock()
+	if others > 0 {
+		return false
+	}
+	c.host.transport.mu.Lock()
+	c.draining = true
+	c.host.transport.mu.Unlock()
+	if c.beforeClose != nil {
+		c.beforeClose()
+	}
+	c.Conn.Close()
+	return true
+}
+
 // abort sends an ABORT_REQUEST record and waits for the end of the request, for up to abortTimeout. If the responder
 // does not end the request, its id stays in use, so that late records are not attributed to another request. abort runs
 // in a goroutine of its own.
--- a/internal/upstream/fastcgi/congestion.go
+++ b/internal/upstream/fastcgi/congestion.go
@@ -95,17 +95,6 @@
 	}
 }
 
-// carriesOthers reports whether the connection has an open request other than k.
-func (c *conn) carriesOthers(k *call) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	others := len(c.calls)
-	if c.calls[k.id] == k {
-		others--
-	}
-	return others > 0
-}
-
 // numCalls returns the number of open requests.
 func (c *conn) numCalls() int {
 	c.mu.Lock()
--- a/internal/upstream/fastcgi/conn.go
+++ b/internal/upstream/fastcgi/conn.go
@@ -66,7 +66,9 @@
 
 	mu    sync.Mutex
 	calls map[uint16]*call // open requests; guarded by mu
-	err   error            // why the connection has ended; nil: it has not; guarded by mu
+	err   error            // why the connection has ended or is being closed; nil: it has not; guarded by mu
+
+	beforeClose func() // called in tests before closeUnlessShared closes the connection
 }
 
 func newConn(h *host, netConn net.Conn, generation int) *conn {
--- a/internal/upstream/fastcgi/conn_test.go
+++ b/internal/upstream/fastcgi/conn_test.go
@@ -239,3 +239,30 @@
 		})
 	}
 }
+
+// No request is started on a connection that is closed because its only request was abandoned. Guards against a request
+// that is sent between the check for other requests and the close, and may have run.
+func TestNoRequestIsStartedOnConnectionThatIsClosed(t *testing.T) {
+	c, responder := newPipeConn(t)
+	received := make(chan struct{})
+	go func() {
+		responder.Read(make([]byte, 1))
+		close(received)
+	}()
+	c.inFlight = 2
+	abandoned := c.startCall()
+	ended := make(chan engine.Result, 1)
+	c.beforeClose = func() {
+		c.beforeClose = nil
+		go func() { ended <- c.RoundTrip(t.Context(), newTestRequest("POST", "/", "")) }()
+		select {
+		case result := <-ended:
+			if result.HasResponse || result.Outcome != balancer.ConnectFailed || result.PartlySent {
+				t.Errorf("got %+v, want ConnectFailed with nothing sent", result)
+			}
+		case <-received:
+			t.Error("the responder has received a request on a connection that is closed")
+		}
+	}
+	c.abandon(abandoned)
+}
--- a/internal/upstream/fastcgi/roundtrip.go
+++ b/internal/upstream/fastcgi/roundtrip.go
@@ -69,11 +69,7 @@
 	// The dial, or the writes of other requests, may have taken long, so check again whether the request may be sent.
 	isSendable := func() bool { return x.MayWrite() && c.isCurrent() }
 	timeout := upstream.UploadPace(x, &defaultStreams).IdleTimeout
-	stopClosing := context.AfterFunc(ctx, func() {
-		if !c.carriesOthers(k) {
-			c.Conn.Close() // ends the write
-		}
-	})
+	stopClosing := context.AfterFunc(ctx, func() { c.closeUnlessShared(k) }) // ends the write
 	defer stopClosing()
 	written, err := c.writeIf(ctx, isSendable, records, timeout)
 	if err == errNotSendable {
--- a/internal/upstream/fastcgi/upload.go
+++ b/internal/upstream/fastcgi/upload.go
@@ -65,8 +65,8 @@
 	u.stopped = true
 	isWriting := u.writing
 	u.mu.Unlock()
-	if isWriting && !u.conn.carriesOthers(u.call) {
-		u.conn.Conn.Close()
+	if isWriting {
+		u.conn.closeUnlessShared(u.call)
 	}
 	<-u.done
 }
