SIGTERM ends a reload that waits for endpoint lists

Cause: one goroutine handled the signals one after the other, and a reload waited 2 s for the first list of each new pool, one after the other.

Fix: SIGTERM and SIGINT cancel the context of the reload, which then changes nothing; the lists of all new pools are awaited together, 2 s in all.

--- a/cmd/dunemoor/appliance.go
+++ b/cmd/dunemoor/appliance.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -42,7 +43,7 @@
 	if adminListener != nil {
 		srv.gateway.ServeAdmin(adminListener, calls)
 	}
-	srv.reload = func() error { return reloadAppliance(srv.gateway, path) }
+	srv.reload = func(ctx context.Context) error { return reloadAppliance(ctx, srv.gateway, path) }
 	slog.Info("serving", "name", a.Name, "listeners", len(a.Listeners), "pools", len(a.Pools), "routes", len(a.Routes))
 	return srv.run(s)
 }
@@ -69,7 +70,7 @@
 
 // reloadAppliance reads the file again and applies it. If the file has errors nothing changes: the first error is
 // returned, and the others are logged.
-func reloadAppliance(g *gateway.Gateway, path string) error {
+func reloadAppliance(ctx context.Context, g *gateway.Gateway, path string) error {
 	a, errs := config.LoadAppliance(path)
 	if len(errs) > 0 {
 		for _, err := range errs[1:] {
@@ -80,7 +81,7 @@
 	if !a.Serves() {
 		return fmt.Errorf("%s: listener: none is configured: a change to a relay that serves no requests takes effect at the next start", path)
 	}
-	if err := g.Reload(a); err != nil {
+	if err := g.Reload(ctx, a); err != nil {
 		return err
 	}
 	slog.Info("configuration reloaded", "listeners", len(a.Listeners), "pools", len(a.Pools), "routes", len(a.Routes))
--- a/cmd/dunemoor/main.go
+++ b/cmd/dunemoor/main.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -76,8 +77,8 @@
 // server is a running gateway.
 type server struct {
 	gateway *gateway.Gateway
-	fleet   *fleet.Fleet // nil if the gateway is not a member of a fleet
-	reload  func() error // reloads the configuration; if it returns an error nothing has changed
+	fleet   *fleet.Fleet                // nil if the gateway is not a member of a fleet
+	reload  func(context.Context) error // reloads the configuration; if it returns an error nothing has changed
 }
 
 // run serves until SIGTERM or SIGINT is received, or a listener fails.
@@ -87,18 +88,43 @@
 		case err := <-srv.gateway.ListenerErrors():
 			return err
 		case <-s.reload:
-			if err := srv.reload(); err != nil {
-				slog.Error("configuration reload failed, keeping the old one", "err", err)
+			if stop := srv.handleReload(s); stop != nil {
+				srv.shutDown(stop)
+				return nil
 			}
 		case <-s.dump:
 			srv.gateway.Dump()
-		case received := <-s.stop:
-			srv.shutDown(received)
+		case stop := <-s.stop:
+			srv.shutDown(stop)
 			return nil
 		}
 	}
 }
 
+// handleReload reloads the configuration, which may wait for endpoint lists. SIGTERM and SIGINT end the reload, since the
+// time until the process is killed has begun; the signal is returned, nil if none was received.
+func (srv *server) handleReload(s signals) (stop os.Signal) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- srv.reload(ctx) }()
+	stopSignals := s.stop
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				slog.Error("configuration reload failed, keeping the old one", "err", err)
+			}
+			return stop
+		case <-s.dump:
+			srv.gateway.Dump()
+		case stop = <-stopSignals:
+			stopSignals = nil
+			cancel()
+		}
+	}
+}
+
 // shutDown stops the gateway gracefully. Signals are still caught but no longer handled: neither SIGHUP nor a second
 // SIGTERM may end the process with requests in flight.
 func (srv *server) shutDown(received os.Signal) {
--- a/cmd/dunemoor/platform.go
+++ b/cmd/dunemoor/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -35,7 +36,7 @@
 		g.ServeAdmin(admin, nil)
 	}
 	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
-	srv := &server{gateway: g, reload: func() error { return reloadPlatform(g, cfg) }}
+	srv := &server{gateway: g, reload: func(context.Context) error { return reloadPlatform(g, cfg) }}
 	return srv.run(s)
 }
 
--- a/internal/gateway/appliance.go
+++ b/internal/gateway/appliance.go
@@ -62,7 +62,7 @@
 	if g.engine.Overload != nil {
 		go g.sampleProcess(g.ctx)
 	}
-	if err := g.apply(a, false); err != nil {
+	if err := g.apply(g.ctx, a, false); err != nil {
 		g.Close()
 		return nil, err
 	}
@@ -70,10 +70,11 @@
 }
 
 // Reload switches to another configuration. If it returns an error, the previous configuration stays in use. Requests in
-// flight finish with the routes and pools that they started with.
-func (g *Gateway) Reload(a *config.Appliance) error {
+// flight finish with the routes and pools that they started with. Reload may wait for endpoint lists; if ctx ends meanwhile,
+// its error is returned.
+func (g *Gateway) Reload(ctx context.Context, a *config.Appliance) error {
 	restart := g.needRestart(a)
-	if err := g.apply(a, true); err != nil {
+	if err := g.apply(ctx, a, true); err != nil {
 		return err
 	}
 	if len(restart) > 0 {
--- a/internal/gateway/appliance_test.go
+++ b/internal/gateway/appliance_test.go
@@ -228,7 +228,7 @@
 		if round%2 == 0 {
 			next = changedText
 		}
-		if err := g.Reload(mustParse(t, next)); err != nil {
+		if err := g.Reload(t.Context(), mustParse(t, next)); err != nil {
 			t.Fatal(err)
 		}
 		services[2].waitServed(t, 60*(round+1))
--- a/internal/gateway/fastcgi_pool_test.go
+++ b/internal/gateway/fastcgi_pool_test.go
@@ -155,7 +155,7 @@
 	if _, err := StartAppliance(mustParse(t, text), nil, nil, nil); err == nil {
 		t.Error("second gateway on the socket started, want an error")
 	}
-	if err := g.Reload(mustParse(t, strings.Replace(text, "cgi.sock", "other.sock", 1))); err != nil {
+	if err := g.Reload(t.Context(), mustParse(t, strings.Replace(text, "cgi.sock", "other.sock", 1))); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := net.Dial("unix", path); err == nil {
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -224,7 +224,7 @@
 	}
 	text := strings.Replace(overloadConfig, "[[listener]]", "[limits.client]\nconcurrent = 3\n[[listener]]", 1) + poolConfig("p", "", host.Addr()) +
 		routeConfig("look", "pool = \"p\"\nclass = \"lookup\"")
-	if err := g.Reload(mustParse(t, text)); err != nil {
+	if err := g.Reload(t.Context(), mustParse(t, text)); err != nil {
 		t.Fatal(err)
 	}
 	var all sync.WaitGroup
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"path/filepath"
@@ -27,8 +28,8 @@
 	// for the pool. The balancer also derives the time spans of its rate estimates from overloadWindow.
 	overloadFactor = 2.5
 	overloadWindow = 1500 * time.Millisecond
-	// reloadListTimeout limits how long a reload waits for the first endpoint list of a new pool from discovery. The wait
-	// avoids rejecting requests because the pool is still empty.
+	// reloadListTimeout limits how long a reload waits for the first endpoint lists of all new pools from discovery. The
+	// wait avoids rejecting requests because a pool is still empty.
 	reloadListTimeout = 2 * time.Second
 	// memberReady is the state of hosts that are listed in the configuration file.
 	memberReady = "ready"
@@ -128,8 +129,7 @@
 }
 
 // setSource starts the source of the pool's endpoint list that is configured in cfg. The caller has stopped the previous
-// source; late updates of it are ignored. If required is set, an unreadable members file is an error, and setSource waits
-// up to reloadListTimeout for the first list from discovery. Otherwise the pool may start without a list.
+// source; late updates of it are ignored. If required is set, an unreadable members file is an error.
 func (p *appliancePool) setSource(cfg config.Pool, required bool) error {
 	ctx, cancel := context.WithCancel(p.ctx)
 	sink := &endpointSink{target: p.overrides, current: p.currentSink, firstList: make(chan struct{})}
@@ -147,19 +147,45 @@
 		go discovery.NewFile(cfg.File).Run(ctx, sink)
 	case cfg.Discovery != "":
 		go p.newSource(cfg.Name, cfg.Discovery).Run(ctx, sink)
-		if required {
-			select {
-			case <-sink.firstList:
-			case <-time.After(reloadListTimeout):
-				slog.Warn("no endpoint list received yet", "pool", cfg.Name, "discovery", cfg.Discovery)
-			}
-		}
 	default:
 		sink.UpdateEndpoints(balancer.ListFull, memberList(cfg.Members))
 	}
 	return nil
 }
 
+// awaitFirstList waits until the pool has received an endpoint list. It returns false if ctx ends first.
+func (p *appliancePool) awaitFirstList(ctx context.Context) bool {
+	firstList := p.currentSink.Load().firstList
+	select {
+	case <-firstList:
+		return true
+	default:
+	}
+	select {
+	case <-firstList:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// awaitFirstLists waits until all pools have received an endpoint list, and no longer than reloadListTimeout in all. It
+// returns the error of ctx if that ends first.
+func awaitFirstLists(ctx context.Context, pools []*appliancePool) error {
+	timeout, cancel := context.WithTimeout(ctx, reloadListTimeout)
+	defer cancel()
+	for _, p := range pools {
+		if p.awaitFirstList(timeout) {
+			continue
+		}
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("wait for the endpoint list of pool %s: %w", p.cfg.Name, err)
+		}
+		slog.Warn("no endpoint list received yet", "pool", p.cfg.Name, "discovery", p.cfg.Discovery)
+	}
+	return nil
+}
+
 // memberList converts the static members of the configuration file to an endpoint list.
 func memberList(members []config.Member) discovery.MemberList {
 	list := discovery.MemberList{Full: true}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -30,10 +31,11 @@
 
 // apply puts a configuration into use. A request is served with the routes and pools of one configuration, never with a
 // mixture. If apply returns an error, the previous configuration stays in use. If running is set, new pools must get an
-// endpoint list first (see setSource); at startup they may be without one.
-func (g *Gateway) apply(a *config.Appliance, running bool) error {
+// endpoint list first (see awaitFirstLists); at startup they may be without one. The wait ends with ctx, whose error is then
+// returned.
+func (g *Gateway) apply(ctx context.Context, a *config.Appliance, running bool) error {
 	c := &configChange{file: a, classes: newClasses(a), listeners: map[string]net.Listener{}, pools: map[string]*appliancePool{}}
-	if err := g.prepare(c, running); err != nil {
+	if err := g.prepare(ctx, c, running); err != nil {
 		g.revert(c)
 		return err
 	}
@@ -42,7 +44,7 @@
 }
 
 // prepare does all steps of a change that can fail. The running configuration is not modified.
-func (g *Gateway) prepare(c *configChange, running bool) error {
+func (g *Gateway) prepare(ctx context.Context, c *configChange, running bool) error {
 	if err := g.openListeners(c); err != nil {
 		return err
 	}
@@ -55,6 +57,11 @@
 		c.pools[cfg.Name] = p
 		uses = append(uses, engine.PoolUse{Pool: p.Pool, MinShare: cfg.MinShare, Fallback: cfg.Fallback})
 	}
+	if running {
+		if err := awaitFirstLists(ctx, c.createdPools); err != nil {
+			return err
+		}
+	}
 	var routes []*engine.Route
 	var retries []engine.Retries
 	for i, r := range c.file.Routes {
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,7 +33,7 @@
 	expectOK(t, g.urls[0]+"/q") // served by p
 	var goroutines int
 	for round := range 5 {
-		if err := g.Reload(mustParse(t, extended)); err != nil {
+		if err := g.Reload(t.Context(), mustParse(t, extended)); err != nil {
 			t.Fatal(err)
 		}
 		expectOK(t, "http://"+free+"/q")
@@ -40,14 +43,14 @@
 		// A file whose listener address is in use changes nothing.
 		taken := strings.Replace(extended, "[[class]]", "[[listener]]\nname = \"third\"\naddress = \""+host.Addr()+"\"\n[[class]]", 1) +
 			poolConfig("z", "", other.Addr()) + routeConfig("z", "path = \"/z\"\npool = \"z\"\nclass = \"lookup\"")
-		if err := g.Reload(mustParse(t, taken)); err == nil || !strings.Contains(err.Error(), "listener third") {
+		if err := g.Reload(t.Context(), mustParse(t, taken)); err == nil || !strings.Contains(err.Error(), "listener third") {
 			t.Errorf("listener address in use: error %v, want one that names the listener", err)
 		}
 		expectOK(t, "http://"+free+"/q")
 		other.Mu.Lock()
 		other.Requests = other.Requests[:round+1]
 		other.Mu.Unlock()
-		if err := g.Reload(mustParse(t, base)); err != nil {
+		if err := g.Reload(t.Context(), mustParse(t, base)); err != nil {
 			t.Fatal(err)
 		}
 		testutil.WaitUntil(t, "the listener closed", func() bool { return !accepts(free) })
@@ -114,11 +117,11 @@
 	waitForRequestAt("the host of the file in use", first)
 	write("one.json", second)
 	waitForRequestAt("the host of the changed file in use", second)
-	if err := g.Reload(mustParse(t, text(filepath.Join(dir, "none.json")))); err == nil || !strings.Contains(err.Error(), "pool p") {
+	if err := g.Reload(t.Context(), mustParse(t, text(filepath.Join(dir, "none.json")))); err == nil || !strings.Contains(err.Error(), "pool p") {
 		t.Errorf("missing members file: error %v, want one that names the pool", err)
 	}
 	waitForRequestAt("the old file still followed", second)
-	if err := g.Reload(mustParse(t, text(write("two.json", first)))); err != nil {
+	if err := g.Reload(t.Context(), mustParse(t, text(write("two.json", first)))); err != nil {
 		t.Fatal(err)
 	}
 	waitForRequestAt("the other file followed", first)
@@ -155,3 +158,45 @@
 		g.Close()
 	}
 }
+
+// A reload that waits for an endpoint list ends with its context, and changes nothing. Guards against a shutdown that
+// waits for discovery.
+func TestReloadEndsWithContext(t *testing.T) {
+	host := testutil.NewHost(t, testutil.RespondWith(testutil.OKResponse))
+	base := baseConfig + poolConfig("p", "", host.Addr()) + routeConfig("r", "pool = \"p\"\nclass = \"lookup\"")
+	g := startAppliance(t, base)
+	list := newScriptedDiscovery(t)
+	extended := base + "[[pool]]\nname = \"watched\"\ndiscovery = \"" + list.addr + "\"\n" +
+		routeConfig("s", "path = \"/watched\"\npool = \"watched\"\nclass = \"lookup\"")
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Reload(ctx, mustParse(t, extended)) }()
+	list.nextCall(t) // has no answer
+	cancel()
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("reload whose context ended: got %v, want %v", err, context.Canceled)
+	}
+	if g.appliance.pools["watched"] != nil {
+		t.Error("the new pool is in use, want the previous configuration")
+	}
+	expectOK(t, g.urls[0]+"/watched")
+}
+
+// A reload waits for the endpoint lists of all new pools together. Guards against a wait for each of them in turn.
+func TestReloadWaitsForListsTogether(t *testing.T) {
+	testutil.VirtualTime(t, func(t *testing.T) {
+		var pools []*appliancePool
+		for range 3 {
+			p := &appliancePool{currentSink: new(atomic.Pointer[endpointSink])}
+			p.currentSink.Store(&endpointSink{firstList: make(chan struct{})})
+			pools = append(pools, p)
+		}
+		start := time.Now()
+		if err := awaitFirstLists(t.Context(), pools); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(start); took != reloadListTimeout {
+			t.Errorf("waited %v for three lists that do not arrive, want %v", took, reloadListTimeout)
+		}
+	})
+}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -49,7 +49,7 @@
 	if requests.Load() != 10 {
 		t.Errorf("%d requests at the host, want 10", requests.Load())
 	}
-	if err := g.Reload(mustParse(t, baseConfig+poolConfig("q", "", other.Addr())+routeConfig("r", "pool = \"q\"\nclass = \"lookup\""))); err != nil {
+	if err := g.Reload(t.Context(), mustParse(t, baseConfig+poolConfig("q", "", other.Addr())+routeConfig("r", "pool = \"q\"\nclass = \"lookup\""))); err != nil {
 		t.Fatal(err)
 	}
 	if resp, text := fetch(t, "GET", g.urls[0]+"/", ""); resp.StatusCode != 200 || text != "good" {
