fleet: both pools of a reload receive every update of an endpoint list

Cause: while a reload replaces a pool, the old and the new one run the same endpointList. Each call of Run had a follower of its own, all received from one channel, and each event reached one of them only.

Fix: one goroutine follows the list and passes updates to all subscriptions; a new one gets the list as it is known.

--- a/internal/fleet/endpoints.go
+++ b/internal/fleet/endpoints.go
@@ -1,17 +1,13 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"dunemoor/balancer"
 	"dunemoor/internal/cluster/leaseholder"
 	"dunemoor/internal/cluster/node"
 	"dunemoor/internal/discovery"
@@ -37,31 +33,74 @@
 	Hosts []discovery.Member `json:"hosts,omitempty"`
 }
 
-// endpointList provides the endpoint list of a pool through the fleet. It is a gateway.Source.
+// publisher sends what a list has to tell other gateways. It is implemented by cluster.Cluster.
+type publisher interface {
+	Publish(to string, l *leaseholder.Lease, seq uint64, body []byte)
+	RequestResync(lease string, body []byte)
+}
+
+// endpointList provides the endpoint list of a pool through the fleet. It is a gateway.Source. One goroutine follows the
+// list for all calls of Run: while a reload replaces a pool there are two.
 type endpointList struct {
-	fleet      *Fleet
+	publisher  publisher
+	fleetCtx   context.Context // canceled when the gateway leaves the fleet
 	pool, addr string
 	leaseName  string
 	events     chan func(*listFollower)
 	watches    atomic.Uint64 // number of watches of discovery since the start
+
+	startOnce sync.Once
+	started   atomic.Bool
+	ended     chan struct{} // closed when follow has returned
+}
+
+func newEndpointList(fleetCtx context.Context, p publisher, pool, addr string) *endpointList {
+	return &endpointList{
+		publisher: p, fleetCtx: fleetCtx, pool: pool, addr: addr, leaseName: listLeasePrefix + pool,
+		events: make(chan func(*listFollower), maxListEvents), ended: make(chan struct{}),
+	}
 }
 
-func newEndpointList(f *Fleet, pool, addr string) *endpointList {
-	return &endpointList{fleet: f, pool: pool, addr: addr, leaseName: listLeasePrefix + pool, events: make(chan func(*listFollower), maxListEvents)}
+// Run passes the list to a sink until ctx is done: at once the list as it is known, and then all updates.
+func (l *endpointList) Run(ctx context.Context, sink discovery.Sink) {
+	l.startOnce.Do(func() {
+		l.started.Store(true)
+		go l.follow()
+	})
+	s := &subscription{sink}
+	if !l.do(func(x *listFollower) { x.subscribe(s) }) {
+		discovery.NewWatcher(l.addr, false, 0).Run(ctx, sink) // the gateway has left the fleet
+		return
+	}
+	<-ctx.Done()
+	l.do(func(x *listFollower) { delete(x.subscriptions, s) })
 }
 
-// listFollower is the state of a running endpointList. It is owned by one goroutine.
-type listFollower struct {
-	*endpointList
-	sink           discovery.Sink
-	state          *endpoints.Follower
-	hosts          map[string]discovery.Member // hosts of the full list, by ID
-	lease          *leaseholder.Lease          // nil if this gateway is not the holder
-	publicationSeq uint64                      // sequence number of the last publication under lease
-	resyncAt       time.Duration               // time at which the full list was last requested
-	publishedAt    time.Duration               // time at which the last publication to all gateways was sent
-	cancelWatch    context.CancelFunc          // nil if discovery is not watched
-	watchSeq       uint64                      // number of the last watch
+// leave makes the list come from discovery itself, because the gateway leaves the fleet.
+func (l *endpointList) leave() {
+	if l.started.Load() {
+		l.do(func(x *listFollower) { x.state.Leave() })
+	}
+}
+
+// do calls a function in the list's goroutine and waits for its end. It returns false if that goroutine has ended.
+func (l *endpointList) do(f func(*listFollower)) bool {
+	handled := make(chan struct{})
+	event := func(x *listFollower) {
+		f(x)
+		close(handled)
+	}
+	select {
+	case l.events <- event:
+	case <-l.ended:
+		return false
+	}
+	select {
+	case <-handled:
+		return true
+	case <-l.ended:
+		return false
+	}
 }
 
 // enqueue queues a function for the list's goroutine. It returns false if the queue is full.
@@ -91,9 +130,9 @@
 	case l.events <- stop:
 		select {
 		case <-stopped:
-		case <-l.fleet.ctx.Done():
+		case <-l.fleetCtx.Done():
 		}
-	case <-l.fleet.ctx.Done():
+	case <-l.fleetCtx.Done():
 	}
 }
 
@@ -113,180 +152,7 @@
 		if x.lease == nil || x.state.Version() == 0 {
 			return
 		}
-		byID := func(a, b discovery.Member) int { return cmp.Compare(a.ID, b.ID) }
 		full := endpoints.Update{Kind: endpoints.KindFull, Version: x.state.Version()}
-		x.publish(from, full, slices.SortedFunc(maps.Values(x.hosts), byID))
+		x.publish(from, full, x.sortedHosts())
 	})
 }
-
-// Run passes the list to a sink until ctx is done.
-func (l *endpointList) Run(ctx context.Context, sink discovery.Sink) {
-	x := &listFollower{
-		endpointList: l, sink: sink, state: endpoints.NewFollower(leaseholder.Now()), hosts: map[string]discovery.Member{},
-	}
-	tick := time.NewTicker(watchCheckInterval)
-	defer tick.Stop()
-	var watches sync.WaitGroup
-	defer watches.Wait()
-	defer func() {
-		if x.cancelWatch != nil {
-			x.cancelWatch()
-		}
-	}()
-	for {
-		x.check(ctx, &watches)
-		select {
-		case <-ctx.Done():
-			return
-		case do := <-l.events:
-			do(x)
-		case <-tick.C:
-		}
-	}
-}
-
-// check starts or stops the watch of discovery, and publishes a heartbeat if one is due.
-func (x *listFollower) check(ctx context.Context, watches *sync.WaitGroup) {
-	now := leaseholder.Now()
-	wasInFallback := x.state.InFallback()
-	watch := x.state.ShouldWatch(now)
-	if x.state.InFallback() && !wasInFallback {
-		slog.Info("no endpoint updates from the fleet, watching discovery directly", "pool", x.pool)
-	}
-	switch {
-	case watch && x.cancelWatch == nil:
-		x.startWatch(ctx, watches)
-	case !watch && x.cancelWatch != nil:
-		x.cancelWatch()
-		x.cancelWatch = nil
-	}
-	if !watch && x.state.Version() == 0 {
-		x.requestResync(now)
-	}
-	if x.lease != nil && x.state.Version() > 0 && now >= x.publishedAt+endpoints.HeartbeatInterval {
-		x.publishHeartbeat()
-	}
-}
-
-func (x *listFollower) startWatch(ctx context.Context, watches *sync.WaitGroup) {
-	watchCtx, cancel := context.WithCancel(ctx)
-	x.cancelWatch = cancel
-	x.watchSeq++
-	x.watches.Add(1)
-	w := discovery.NewWatcher(x.addr, false, x.state.Version())
-	sink := &watchSink{x.endpointList, watchCtx, x.watchSeq}
-	watches.Go(func() { w.Run(watchCtx, sink) })
-}
-
-// watchSink is the sink of one watch of discovery.
-type watchSink struct {
-	*endpointList
-	ctx      context.Context
-	watchSeq uint64
-}
-
-// UpdateEndpoints implements discovery.Sink.
-func (s *watchSink) UpdateEndpoints(kind balancer.ListKind, list discovery.MemberList) {
-	receive := func(x *listFollower) {
-		if x.watchSeq == s.watchSeq && x.cancelWatch != nil {
-			x.receiveDirect(kind, list)
-		}
-	}
-	select {
-	case s.events <- receive:
-	case <-s.ctx.Done():
-	}
-}
-
-// receiveDirect handles a list from discovery itself, and publishes it if this gateway is the holder.
-func (x *listFollower) receiveDirect(kind balancer.ListKind, list discovery.MemberList) {
-	from := x.state.Version()
-	full := kind != balancer.ListChanges
-	if kind == balancer.ListFailed || !x.state.ReceiveDirect(list.Version, full) {
-		return
-	}
-	x.store(full, list.Servers)
-	x.sink.UpdateEndpoints(kind, list)
-	if x.lease == nil {
-		return
-	}
-	u := endpoints.Update{Kind: endpoints.KindChanges, From: from, Version: list.Version}
-	if full {
-		u.Kind = endpoints.KindFull
-	}
-	x.publish("", u, list.Servers)
-}
-
-// store updates the hosts of the full list, which is sent to gateways that request it.
-func (x *listFollower) store(full bool, hosts []discovery.Member) {
-	if full {
-		clear(x.hosts)
-	}
-	for _, h := range hosts {
-		if h.State == discovery.StateGone {
-			delete(x.hosts, h.ID)
-		} else {
-			x.hosts[h.ID] = h
-		}
-	}
-}
-
-// setLease sets the lease that this gateway holds, nil for none.
-func (x *listFollower) setLease(lease *leaseholder.Lease) {
-	x.lease = lease
-	x.publicationSeq = 0
-	x.publishedAt = 0
-	x.state.SetHolder(leaseholder.Now(), lease != nil)
-	if lease != nil && x.state.Version() > 0 {
-		x.publishHeartbeat() // other gateways may have an older list
-	}
-}
-
-func (x *listFollower) publishHeartbeat() {
-	x.publish("", endpoints.Update{Kind: endpoints.KindHeartbeat, Version: x.state.Version()}, nil)
-}
-
-// publish publishes an update to all gateways, or to one, while the lease is valid.
-func (x *listFollower) publish(to string, u endpoints.Update, hosts []discovery.Member) {
-	b, err := json.Marshal(endpointPublication{u, hosts})
-	if err != nil {
-		slog.Error("encode endpoint publication failed", "pool", x.pool, "err", err)
-		return
-	}
-	x.publicationSeq++
-	if to == "" {
-		x.publishedAt = leaseholder.Now()
-	}
-	if x.lease.Valid() {
-		x.fleet.cluster.Publish(to, x.lease, x.publicationSeq, b)
-	}
-}
-
-// receive handles an update of a holder.
-func (x *listFollower) receive(token uint64, p *endpointPublication) {
-	now := leaseholder.Now()
-	wasInFallback := x.state.InFallback()
-	switch x.state.Receive(now, token, p.Update) {
-	case endpoints.Apply:
-		full := p.Kind == endpoints.KindFull
-		x.store(full, p.Hosts)
-		kind := balancer.ListChanges
-		if full {
-			kind = balancer.ListFull
-		}
-		x.sink.UpdateEndpoints(kind, discovery.MemberList{Version: p.Version, Full: full, Servers: p.Hosts})
-	case endpoints.Outdated:
-		x.requestResync(now)
-	}
-	if wasInFallback && !x.state.InFallback() {
-		slog.Info("endpoint updates from the fleet resumed", "pool", x.pool, "version", x.state.Version())
-	}
-}
-
-// requestResync requests the full list from the holder, at most once per minResyncInterval.
-func (x *listFollower) requestResync(now time.Duration) {
-	if x.lease == nil && now >= x.resyncAt+minResyncInterval {
-		x.resyncAt = now
-		x.fleet.cluster.RequestResync(x.leaseName, nil)
-	}
-}
--- a/internal/fleet/endpoints/endpoints.go
+++ b/internal/fleet/endpoints/endpoints.go
@@ -59,6 +59,7 @@
 	updatedAt time.Duration // time at which that update arrived, or at which the wait for an update began
 	isHolder  bool
 	fallback  bool // no update has arrived for too long: discovery is watched directly
+	hasLeft   bool // the gateway has left the fleet: discovery is watched directly
 }
 
 // NewFollower returns a Follower without a list.
@@ -74,6 +75,12 @@
 	f.isHolder = isHolder
 }
 
+// Leave handles the event that this gateway leaves the fleet. Updates of a holder are ignored from then on.
+func (f *Follower) Leave() { f.hasLeft = true }
+
+// HasLeft reports whether Leave has been called.
+func (f *Follower) HasLeft() bool { return f.hasLeft }
+
 // Receive handles an update of a holder.
 func (f *Follower) Receive(now time.Duration, token uint64, u Update) Verdict {
 	v := f.classify(token, u)
@@ -91,8 +98,8 @@
 
 func (f *Follower) classify(token uint64, u Update) Verdict {
 	switch {
-	case f.isHolder || token < f.token:
-		return Ignore // this gateway publishes the list, or a former holder has sent the update
+	case f.isHolder || f.hasLeft || token < f.token:
+		return Ignore // this gateway does not follow a holder, or a former holder has sent the update
 	case token != f.token && f.hasList && u.Version < f.version:
 		return Ignore // the list of a new holder is older than the one here
 	}
@@ -134,16 +141,16 @@
 }
 
 // ShouldWatch reports whether this gateway must watch discovery now: because it is the holder, or because it
-// has received no valid update for too long.
+// has received no valid update for too long, or because it has left the fleet.
 func (f *Follower) ShouldWatch(now time.Duration) bool {
 	if !f.isHolder && now-f.updatedAt >= PublicationTimeout {
 		f.fallback = true
 	}
-	return f.isHolder || f.fallback
+	return f.isHolder || f.fallback || f.hasLeft
 }
 
 // InFallback reports whether this gateway watches discovery directly because it receives no updates of a holder.
-func (f *Follower) InFallback() bool { return f.fallback && !f.isHolder }
+func (f *Follower) InFallback() bool { return (f.fallback || f.hasLeft) && !f.isHolder }
 
 // Version returns the version of the list, or 0 if there is none.
 func (f *Follower) Version() uint64 { return f.version }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,7 +57,7 @@
 			c.Register(h.leaseName, h.runAsHolder, h)
 		}
 		if p.Discovery != "" {
-			l := newEndpointList(f, p.Name, p.Discovery)
+			l := newEndpointList(f.ctx, c, p.Name, p.Discovery)
 			f.endpointLists[p.Name] = l
 			c.Register(l.leaseName, l.runAsHolder, l)
 		}
