fleet: a gateway that leaves watches discovery until its end

Cause: a member that has left gets no publications, and watched discovery itself only after 6 s without one.

Fix: Leave makes each list come from discovery first, from the version that is known, and publications are ignored from then on.

--- a/internal/fleet/endpointlist_test.go
+++ b/internal/fleet/endpointlist_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"dunemoor/balancer"
 	"dunemoor/internal/cluster/leaseholder"
@@ -115,3 +117,41 @@
 		<-l.ended
 	})
 }
+
+// A gateway that leaves the fleet watches discovery at once, and ignores publications. Guards against hosts that drain
+// while it finishes its requests: former members get no publications.
+func TestListIsWatchedWhileGatewayLeaves(t *testing.T) {
+	testutil.VirtualTime(t, func(t *testing.T) {
+		l := newTestList(t)
+		var pool listRecorder
+		stop := run(l, &pool)
+		synctest.Wait()
+		publish(t, l, endpoints.Update{Kind: endpoints.KindFull, Version: 1}, discovery.Member{ID: "a", State: discovery.StateReady})
+		time.Sleep(endpoints.HeartbeatInterval)
+		if n := l.watches.Load(); n != 0 {
+			t.Errorf("%d watches of a list that the fleet publishes, want none", n)
+		}
+		l.leave()
+		synctest.Wait()
+		if n := l.watches.Load(); n != 1 {
+			t.Errorf("%d watches after the gateway has left the fleet, want 1 at once", n)
+		}
+		publish(t, l, endpoints.Update{Kind: endpoints.KindFull, Version: 2}, discovery.Member{ID: "b", State: discovery.StateReady})
+		synctest.Wait()
+		if !slices.Equal(keys(&pool), []string{"a"}) {
+			t.Errorf("got hosts %v, want those of before", keys(&pool))
+		}
+		stop()
+		<-l.ended
+	})
+}
+
+func keys(r *listRecorder) (ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.hosts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -121,8 +121,12 @@
 	return discovery.NewWatcher(addr, false, 0)
 }
 
-// Leave leaves the fleet gracefully.
+// Leave leaves the fleet gracefully. Requests may still be in flight: the endpoint lists come from discovery itself from
+// then on.
 func (f *Fleet) Leave() {
+	for _, l := range f.endpointLists {
+		l.leave()
+	}
 	f.cancel()
 	f.cluster.Leave(leaveTimeout)
 }
