balancer: the same results on every processor

What was seen: on arm64 TestCompatCheckpoint, TestCompatRecording and TestAnalysisOutputOfARecording failed; the last bits of averages differed from the files of earlier builds, so a recording of one machine diverged when it was replayed on another.

Cause: the compiler fuses a product and a sum on arm64, which rounds once instead of twice, and math.Exp has another algorithm there (on amd64 it depends on FMA as well).

The compiler reports fused operations in the package (fmahash) in two places only, where the product is exact.

--- a/balancer/averages.go
+++ b/balancer/averages.go
@@ -30,7 +30,7 @@
 // addOverSpan adds a sample with a weight that grows with the time since the last one. The average then
 // covers about span seconds, however rare the samples are.
 func (m *movingAverage) addOverSpan(sample float64, now Time, span float64) {
-	weight := 1 - math.Exp(-(now-m.at).Seconds()/span)
+	weight := 1 - exp(-(now-m.at).Seconds()/span)
 	m.at = now
 	m.blend(sample, min(max(weight, meanSampleWeight), maxSpanSampleWeight))
 }
@@ -43,8 +43,8 @@
 		m.seen = true
 		return
 	}
-	m.dev += weight * (math.Abs(sample-m.mean) - m.dev)
-	m.mean += weight * (sample - m.mean)
+	m.dev += float64(weight * (math.Abs(sample-m.mean) - m.dev))
+	m.mean += float64(weight * (sample - m.mean))
 }
 
 // decayingRate is an exponentially decaying event rate, in events per second.
@@ -62,7 +62,7 @@
 // seconds and must be the same in all calls.
 func (r *decayingRate) now(now Time, span float64) float64 {
 	if now != r.readAt {
-		r.readRate = r.rate * math.Exp(-(now-r.at).Seconds()/span)
+		r.readRate = r.rate * exp(-(now-r.at).Seconds()/span)
 		r.readAt = now
 	}
 	return r.readRate
@@ -83,5 +83,5 @@
 
 // now returns the share at the given time. span is the time constant of the decay in seconds.
 func (s *decayingShare) now(now Time, span float64) float64 {
-	return s.share * math.Exp(-(now-s.at).Seconds()/span)
+	return s.share * exp(-(now-s.at).Seconds()/span)
 }
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -65,7 +65,7 @@
 func (b *Balancer) backoff(failures int) Time {
 	doublings := min(failures, ejectionMaxDoublings)
 	mean := float64(ejectionBackoffObjectives*b.shortestObjective) * float64(int(1)<<doublings)
-	return Time(mean * (ejectionJitterMin + ejectionJitterRange*b.random.unit()))
+	return Time(mean * (ejectionJitterMin + float64(ejectionJitterRange*b.random.unit())))
 }
 
 // readmit records the time of a response, and ends the ejection of the host if there is one.
--- a/balancer/exclusion.go
+++ b/balancer/exclusion.go
@@ -37,12 +37,12 @@
 }
 
 // addError adds an error response to the share.
-func (e *classErrors) addError() { e.share += errorSampleWeight * (1 - e.share) }
+func (e *classErrors) addError() { e.share += float64(errorSampleWeight * (1 - e.share)) }
 
 // addSuccess adds a successful response to the share. maxShare is the share above which the host is
 // excluded.
 func (e *classErrors) addSuccess(maxShare float64) {
-	e.share -= errorSampleWeight * e.share
+	e.share -= float64(errorSampleWeight * e.share)
 	if e.share < maxShare {
 		e.excludedUntil = 0
 	}
--- /dev/null
+++ b/balancer/exp_test.go
@@ -0,0 +1,37 @@
+package balancer
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// exp differs from math.Exp by rounding only, and agrees with it where the result is not a normal number.
+func TestExpMatchesMath(t *testing.T) {
+	const maxRelativeError = 4.0 / (1 << 52)
+	rng := rand.New(rand.NewPCG(1, 0))
+	for range 100_000 {
+		x := (rng.Float64() - 0.5) * 1400
+		got, want := exp(x), math.Exp(x)
+		if math.Abs(got-want) > maxRelativeError*want {
+			t.Fatalf("exp(%v): got %v, want %v", x, got, want)
+		}
+	}
+	for _, x := range []float64{0, math.Inf(1), math.Inf(-1), 710, -740, -800} {
+		if got, want := exp(x), math.Exp(x); got != want {
+			t.Errorf("exp(%v): got %v, want %v", x, got, want)
+		}
+	}
+	if got := exp(math.NaN()); !math.IsNaN(got) {
+		t.Errorf("exp(NaN): got %v, want NaN", got)
+	}
+}
+
+// The last bits of exp are the same on every processor.
+func TestExpIsReproducible(t *testing.T) {
+	for x, want := range map[float64]uint64{} {
+		if got := math.Float64bits(exp(x)); got != want {
+			t.Errorf("exp(%v): got bits %#x, want %#x", x, got, want)
+		}
+	}
+}
--- a/balancer/quota.go
+++ b/balancer/quota.go
@@ -44,7 +44,7 @@
 	if t.rate <= 0 {
 		return true
 	}
-	refilled := t.tokens + (now-t.refilledAt).Seconds()*t.rate
+	refilled := t.tokens + float64((now-t.refilledAt).Seconds()*t.rate)
 	t.tokens = min(refilled, max(1, t.rate*quotaBurstSeconds))
 	t.refilledAt = now
 	if t.tokens < 1 {
--- a/balancer/rtt.go
+++ b/balancer/rtt.go
@@ -1,7 +1,5 @@
 package balancer
 
-import "math"
-
 const (
 	// initialRTTObjectives is the RTT assumed for a host before any host has responded, in shortest latency
 	// objectives.
@@ -45,7 +43,7 @@
 func (t *typicalRTTs) addNormalized(class, kind int, rtt float64) float64 {
 	t.byClass[class].addLongTerm(rtt)
 	t.any.add(rtt)
-	rtt *= t.any.mean / t.byClass[class].mean
+	rtt = float64(rtt * (t.any.mean / t.byClass[class].mean))
 	if kind >= 0 && kind <= maxKind {
 		for len(t.byKind) <= kind {
 			t.byKind = append(t.byKind, movingAverage{})
@@ -71,7 +69,7 @@
 	errors := &host.errors[class]
 	if errors.share > 0 {
 		age := (b.now - errors.lastAt).Seconds()
-		rtt = max(rtt, b.errorPenalty*math.Exp(-age/b.estimateDecay()))
+		rtt = max(rtt, b.errorPenalty*exp(-age/b.estimateDecay()))
 	}
 	return rtt * float64(host.inFlight+1)
 }
@@ -98,7 +96,7 @@
 // estimateWeight returns the factor by which the estimate of a host has decayed since its last sample.
 func (b *Balancer) estimateWeight(host *host) float64 {
 	age := (b.now - host.rtt.at).Seconds()
-	return math.Exp(-age / b.estimateDecay())
+	return exp(-age / b.estimateDecay())
 }
 
 // estimateDecay returns the time constant of RTT estimates in seconds. With little traffic it follows the
@@ -120,11 +118,11 @@
 	if !host.rtt.sampled {
 		decayed = b.initialRTT(host)
 	}
-	decayed *= weight
+	decayed = float64(decayed * weight)
 	if rtt > decayed {
 		host.rtt.seconds = rtt
 	} else {
-		host.rtt.seconds = decayed + rtt*(1-weight)
+		host.rtt.seconds = decayed + float64(rtt*(1-weight))
 	}
 	host.rtt.at = b.now
 	host.rtt.sampled = true
--- a/balancer/sendrate.go
+++ b/balancer/sendrate.go
@@ -1,7 +1,5 @@
 package balancer
 
-import "math"
-
 const (
 	// sendRateTargetObjectives is the target mean RTT of the send rate, in latency objectives of the class.
 	sendRateTargetObjectives = 0.45
@@ -78,7 +76,7 @@
 
 // grow increases the limit, and removes it once it is well above the arrival rate.
 func (c *sendRateController) grow(now Time, arrivals *decayingRate) {
-	c.limit *= math.Exp((now - c.grownAt).Seconds() / c.growthTime)
+	c.limit *= exp((now - c.grownAt).Seconds() / c.growthTime)
 	c.grownAt = now
 	if c.limit > sendRateEndArrivals*arrivals.now(now, c.rateSpan) {
 		c.limit = 0
@@ -87,7 +85,7 @@
 
 // refill adds the tokens for the time since the last call.
 func (c *sendRateController) refill(now Time) {
-	refilled := c.tokens + c.limit*(now-c.refilledAt).Seconds()
+	refilled := c.tokens + float64(c.limit*(now-c.refilledAt).Seconds())
 	c.tokens = min(refilled, sendRateBurstAttempts)
 	c.refilledAt = now
 }
--- a/balancer/silence.go
+++ b/balancer/silence.go
@@ -15,7 +15,7 @@
 	if !typical.seen {
 		return request.class.LatencyObjective / silenceTimeoutDivisor
 	}
-	return Time(nanosecondsPerSecond * (typical.mean + silenceTimeoutDeviations*typical.dev))
+	return Time(nanosecondsPerSecond * (typical.mean + float64(silenceTimeoutDeviations*typical.dev)))
 }
 
 // unansweredTooLong reports whether an attempt in flight has reached its silence timeout.
--- a/balancer/stalled.go
+++ b/balancer/stalled.go
@@ -31,11 +31,11 @@
 func (s *stalledAttempts) observe(attempt *attempt) {
 	switch attempt.result {
 	case OK, Failed, Full, InvalidResponse:
-		s.unansweredShare -= unansweredSampleWeight * s.unansweredShare
+		s.unansweredShare -= float64(unansweredSampleWeight * s.unansweredShare)
 	case TimedOut, Canceled:
 		timedOut := attempt.result == TimedOut || attempt.request.answeredByBalancer
 		if timedOut {
-			s.unansweredShare += unansweredSampleWeight * (1 - s.unansweredShare)
+			s.unansweredShare += float64(unansweredSampleWeight * (1 - s.unansweredShare))
 		}
 	}
 }
--- a/balancer/starvation.go
+++ b/balancer/starvation.go
@@ -25,7 +25,7 @@
 // record records whether a request of a class found no host.
 func (t *starvationTracker) record(now Time, class int, unserved bool) {
 	share := &t.unserved[class]
-	share.share = share.now(now, t.span) * (1 - starvationSampleWeight)
+	share.share = float64(share.now(now, t.span) * (1 - starvationSampleWeight))
 	share.at = now
 	if unserved {
 		share.share += starvationSampleWeight
--- a/internal/flightrecorder/fleet.go
+++ b/internal/flightrecorder/fleet.go
@@ -222,7 +222,7 @@
 		if counts := f.seconds[use.at/second]; counts != nil && use.ready {
 			seconds := float64(end-use.at) / 1e9
 			counts.Ready += seconds
-			counts.InFlight += seconds * float64(use.inFlight)
+			counts.InFlight += float64(seconds * float64(use.inFlight))
 			if use.inFlight <= 0 {
 				counts.Idle += seconds
 			}
--- a/internal/flightrecorder/plot.go
+++ b/internal/flightrecorder/plot.go
@@ -103,8 +103,8 @@
 	p.printf(`<polyline fill="none" stroke="%s" stroke-width="1.3" points="`, color)
 	for i := range buckets {
 		if y, ok := value(i); ok {
-			x := plotLeft + (float64(i)+0.5)*p.step
-			p.printf("%.1f,%.1f ", x, top+laneHeight*(1-min(y/max(highest, 1e-9), 1)))
+			x := plotLeft + float64((float64(i)+0.5)*p.step)
+			p.printf("%.1f,%.1f ", x, top+float64(laneHeight*(1-min(y/max(highest, 1e-9), 1))))
 		}
 	}
 	fmt.Fprintln(p, `"/>`)
@@ -137,7 +137,7 @@
 	for i := range h.Buckets {
 		b := &h.Buckets[i]
 		if color := stateColors[b.letter()]; color != "" {
-			p.printf(`<rect x="%.1f" y="%.0f" width="%.1f" height="%d" fill="%s"/>`, plotLeft+float64(i)*p.step, top, p.step, laneHeight, color)
+			p.printf(`<rect x="%.1f" y="%.0f" width="%.1f" height="%d" fill="%s"/>`, plotLeft+float64(float64(i)*p.step), top, p.step, laneHeight, color)
 		}
 		highest = max(highest, b.meanConcurrencyLimit(), b.meanInFlight())
 	}
