fleet: a holder whose discovery is silent publishes no heartbeats

Cause: the holder's heartbeat, sent by a timer, kept all others from watching discovery. It proved that the holder lives, not that its list is current.

Fix: the heartbeat is published when discovery confirms the list to the holder, and none otherwise, also not as the lease is taken. The others watch discovery 6 s after the last, as for a holder that is lost. The bytes on the wire are as before.

TestHolderWithSilentDiscoveryPublishesNoHeartbeat failed on the code before: a publication while discovery was silent.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -47,6 +47,7 @@
 	addrChanged chan struct{} // has an item after a change of addr
 	client      http.Client
 	MaxSilence  time.Duration // time without data after which a watch is canceled; must be set before Run
+	OnHeartbeat func()        // called when a watch receives a heartbeat, unless it is nil; must be set before Run
 
 	mu          sync.Mutex              // guards the fields below
 	addr        string                  // host:port
@@ -282,6 +283,9 @@
 		c.to.UpdateEndpoints(balancer.ListChanges, MemberList{Version: c.version})
 	}
 	c.restartSilenceTimer()
+	if d.OnHeartbeat != nil {
+		d.OnHeartbeat()
+	}
 }
 
 // apply passes a list to the Sink. If it returns an error, the call ends and watch returns received.
--- a/internal/fleet/endpointlist_test.go
+++ b/internal/fleet/endpointlist_test.go
@@ -146,6 +146,37 @@
 	})
 }
 
+// A holder publishes a heartbeat when discovery confirms the list, and none while discovery is silent. Guards against a
+// holder that keeps the whole fleet on an old list.
+func TestHolderWithSilentDiscoveryPublishesNoHeartbeat(t *testing.T) {
+	testutil.VirtualTime(t, func(t *testing.T) {
+		l := newTestList(t)
+		stop := run(l, &listRecorder{})
+		synctest.Wait()
+		publish(t, l, endpoints.Update{Kind: endpoints.KindFull, Version: 1}, discovery.Member{ID: "a", State: discovery.StateReady})
+		l.do(func(x *listFollower) { x.setLease(&leaseholder.Lease{Name: l.leaseName, Token: 2}) })
+		publications := func() (n uint64) {
+			l.do(func(x *listFollower) { n = x.publicationSeq })
+			return n
+		}
+		time.Sleep(2 * endpoints.PublicationTimeout)
+		if n := publications(); n != 0 {
+			t.Errorf("%d publications while discovery is silent, want none", n)
+		}
+		for range 3 {
+			l.do((*listFollower).publishHeartbeat)
+			l.do((*listFollower).publishHeartbeat) // discovery confirms the list twice at once
+			l.do(func(x *listFollower) { x.publishedAt -= endpoints.HeartbeatInterval }) // the clock of leases is real
+		}
+		if n := publications(); n != 3 {
+			t.Errorf("%d publications after three heartbeats of discovery, want 3", n)
+		}
+		l.leave()
+		stop()
+		<-l.ended
+	})
+}
+
 func keys(r *listRecorder) (ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/fleet/endpoints.go
+++ b/internal/fleet/endpoints.go
@@ -23,6 +23,8 @@
 	maxListEvents = 64
 	// watchCheckInterval is how often a list checks whether discovery must be watched.
 	watchCheckInterval = 250 * time.Millisecond
+	// minHeartbeatInterval is the minimum time between a publication to all gateways and a heartbeat after it.
+	minHeartbeatInterval = endpoints.HeartbeatInterval / 2
 	// minResyncInterval is the minimum time between two requests for the full list.
 	minResyncInterval = watchCheckInterval
 )
--- a/internal/fleet/endpoints/endpoints.go
+++ b/internal/fleet/endpoints/endpoints.go
@@ -13,7 +13,8 @@
 import "time"
 
 const (
-	// HeartbeatInterval is the time between two updates of a holder whose list does not change.
+	// HeartbeatInterval is the time between two updates of a holder whose list does not change: that at which discovery
+	// confirms the list to it.
 	HeartbeatInterval = 2 * time.Second
 	// PublicationTimeout is how long a gateway relies on the holder's last update. Three heartbeats are lost by
 	// then. It is as long as a watch of discovery may be silent.
@@ -28,7 +29,7 @@
 
 // Kinds of updates.
 const (
-	KindHeartbeat Kind = "beat"    // the list of Version is still current
+	KindHeartbeat Kind = "beat"    // the list of Version is still current: discovery has just confirmed it to the holder
 	KindFull      Kind = "whole"   // all hosts of Version
 	KindChanges   Kind = "changes" // the changes from version From to Version
 )
--- a/internal/fleet/listfollower.go
+++ b/internal/fleet/listfollower.go
@@ -76,8 +76,7 @@
 	return slices.SortedFunc(maps.Values(x.hosts), byID)
 }
 
-// check starts or stops the watch of discovery, and publishes a heartbeat if one is due. Without a subscription the list
-// is only watched for other gateways.
+// check starts or stops the watch of discovery. Without a subscription the list is only watched for other gateways.
 func (x *listFollower) check() {
 	now := leaseholder.Now()
 	wasInFallback := x.state.InFallback()
@@ -95,9 +94,6 @@
 	if !watch && isNeeded && x.state.Version() == 0 {
 		x.requestResync(now)
 	}
-	if x.lease != nil && x.state.Version() > 0 && now >= x.publishedAt+endpoints.HeartbeatInterval {
-		x.publishHeartbeat()
-	}
 }
 
 func (x *listFollower) startWatch() {
@@ -107,6 +103,7 @@
 	x.watches.Add(1)
 	w := discovery.NewWatcher(x.addr, false, x.state.Version())
 	sink := &watchSink{x.endpointList, ctx, x.watchSeq}
+	w.OnHeartbeat = sink.heartbeat
 	x.ongoingWatches.Go(func() { w.Run(ctx, sink) })
 }
 
@@ -127,13 +124,21 @@
 
 // UpdateEndpoints implements discovery.Sink.
 func (s *watchSink) UpdateEndpoints(kind balancer.ListKind, list discovery.MemberList) {
-	receive := func(x *listFollower) {
+	s.enqueue(func(x *listFollower) { x.receiveDirect(kind, list) })
+}
+
+// heartbeat is called when discovery confirms that the list has not changed.
+func (s *watchSink) heartbeat() { s.enqueue((*listFollower).publishHeartbeat) }
+
+// enqueue queues a function that the list's goroutine calls, unless the watch has been stopped by then.
+func (s *watchSink) enqueue(do func(*listFollower)) {
+	event := func(x *listFollower) {
 		if x.watchSeq == s.watchSeq && x.cancelWatch != nil {
-			x.receiveDirect(kind, list)
+			do(x)
 		}
 	}
 	select {
-	case s.events <- receive:
+	case s.events <- event:
 	case <-s.ctx.Done():
 	}
 }
@@ -177,13 +182,16 @@
 	x.publicationSeq = 0
 	x.publishedAt = 0
 	x.state.SetHolder(leaseholder.Now(), lease != nil)
-	if lease != nil && x.state.Version() > 0 {
-		x.publishHeartbeat() // other gateways may have an older list
-	}
 }
 
+// publishHeartbeat publishes that the list is current, if this gateway is the holder. It is called when discovery has just
+// confirmed the list, and not at intervals: a heartbeat proves to the other gateways that what they have is current, and
+// not only that the holder is up. Otherwise a holder whose discovery is silent would keep them all on an old list.
 func (x *listFollower) publishHeartbeat() {
-	x.publish("", endpoints.Update{Kind: endpoints.KindHeartbeat, Version: x.state.Version()}, nil)
+	isDue := leaseholder.Now() >= x.publishedAt+minHeartbeatInterval
+	if x.lease != nil && x.state.Version() > 0 && isDue {
+		x.publish("", endpoints.Update{Kind: endpoints.KindHeartbeat, Version: x.state.Version()}, nil)
+	}
 }
 
 // publish publishes an update to all gateways, or to one, while the lease is valid.
