cluster: the overrides stay on a disk whose replica is moved aside

Cause: the quarantine of a copied disk moved words.json aside. The overrides had been read before, and the fleet's set of the same revision was nothing new, so the file was not written again.

Fix: the file stays where it is.

--- a/internal/cluster/storage.go
+++ b/internal/cluster/storage.go
@@ -55,7 +55,8 @@
 }
 
 // quarantine moves the files of the data directory into a new subdirectory, and removes old ones over
-// maxQuarantined.
+// maxQuarantined. The overrides file stays: it belongs to no replica, and without it they would be forgotten if no other
+// gateway is up at the next start.
 func (c *Cluster) quarantine() error {
 	names, err := c.dir.Names()
 	if err != nil {
@@ -76,6 +77,9 @@
 		return err
 	}
 	for _, name := range names {
+		if name == overridesFile {
+			continue
+		}
 		if err := c.dir.Rename(name, filepath.Join(to, name)); err != nil {
 			return err
 		}
