--- a/balancer/exp.go
+++ b/balancer/exp.go
@@ -2,8 +2,8 @@
 
 import "math"
 
-// Constants of exp. ln2High and ln2Low add up to the natural logarithm of 2; ln2High has so few digits that its product
-// with an exponent is exact.
+// Constants of exp. ln2High and ln2Low add up to the natural logarithm of 2; ln2High has so few digits that
+// its product with an exponent is exact.
 const (
 	ln2High = 0.69314718055966295651160180568695068359375
 	ln2Low  = 0.28235290563031577122588448175013436025525412068e-12
@@ -16,11 +16,14 @@
 )
 
 // expCoefficients are those of the Taylor series of (e^x - 1) / x, the highest degree first.
-var expCoefficients = [...]float64{1.0 / 40320, 1.0 / 5040, 1.0 / 720, 1.0 / 120, 1.0 / 24, 1.0 / 6, 1.0 / 2, 1}
+var expCoefficients = [...]float64{
+	1.0 / 40320, 1.0 / 5040, 1.0 / 720, 1.0 / 120, 1.0 / 24, 1.0 / 6, 1.0 / 2, 1,
+}
 
-// exp returns e^x. In contrast to math.Exp, whose last bit depends on the processor, the result is the same everywhere, so
-// that checkpoints and recordings of one machine can be replayed on another. For the same reason products to which
-// something is added are converted to float64 throughout the package: the compiler may not fuse the two operations then.
+// exp returns e^x. In contrast to math.Exp, whose last bit depends on the processor, the result is the same
+// everywhere, so that checkpoints and recordings of one machine can be replayed on another. For the same
+// reason products to which something is added are converted to float64 throughout the package: the compiler
+// may not fuse the two operations then.
 func exp(x float64) float64 {
 	exponent := math.RoundToEven(x * math.Log2E)
 	if !(exponent >= minNormalExponent && exponent <= maxNormalExponent) {
--- a/balancer/policy_test.go
+++ b/balancer/policy_test.go
@@ -95,7 +95,7 @@
 // filesWithoutDecisions are the files of the package without rules: types, data structures and codecs.
 var filesWithoutDecisions = []string{
 	"actions.go", "api.go", "checkpoint.go", "checkpoint_codec.go", "checkpoint_hosts.go", "checkpoint_requests.go",
-	"host.go", "hostset.go", "list.go", "random.go", "dueheap.go", "request.go", "retune.go", "settings.go", "view.go",
+	"exp.go", "host.go", "hostset.go", "list.go", "random.go", "dueheap.go", "request.go", "retune.go", "settings.go", "view.go",
 }
 
 // filesInBalancerComment returns the files that the doc comment of Balancer lists with a description.
