FastCGI frontend: a blocked read times out no request of the web server

After a body had blocked reading for over 2.5 s, its own request and all other incomplete ones were ended with 408, as if the web server had sent nothing.

Fix: the timeouts of incomplete requests start anew after a blocked read. TestBlockedReadingTimesOutNoIncompleteRequest failed without it: "the incomplete request has timed out while reading was blocked". Also formats a test of the fleet's lists.

--- a/internal/fleet/endpointlist_test.go
+++ b/internal/fleet/endpointlist_test.go
@@ -165,7 +165,7 @@
 		}
 		for range 3 {
 			l.do((*listFollower).publishHeartbeat)
-			l.do((*listFollower).publishHeartbeat) // discovery confirms the list twice at once
+			l.do((*listFollower).publishHeartbeat)                                       // discovery confirms the list twice at once
 			l.do(func(x *listFollower) { x.publishedAt -= endpoints.HeartbeatInterval }) // the clock of leases is real
 		}
 		if n := publications(); n != 3 {
--- a/internal/frontend/fastcgi/stdin.go
+++ b/internal/frontend/fastcgi/stdin.go
@@ -100,8 +100,12 @@
 }
 
 // updateBehindSince is called after bytes were decoded. isAll reports whether they were all that had arrived. What has
-// arrived meanwhile may have done so since reading was first blocked.
+// arrived meanwhile may have done so since reading was first blocked. The web server is not to blame for that time, so the
+// timeouts of incomplete requests start anew.
 func (c *conn) updateBehindSince(isAll bool) {
+	if !c.blockedAt.IsZero() {
+		c.setLastRead(time.Now())
+	}
 	if isAll || c.behindSince.IsZero() {
 		c.behindSince = c.blockedAt
 	}
--- a/internal/frontend/fastcgi/stdin_test.go
+++ b/internal/frontend/fastcgi/stdin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -141,6 +142,35 @@
 	}
 }
 
+// The time for which a body blocks reading does not count against a request that is incomplete meanwhile. Guards against a
+// timeout of the web server where the host of another request was slow.
+func TestBlockedReadingTimesOutNoIncompleteRequest(t *testing.T) {
+	testutil.VirtualTime(t, func(t *testing.T) {
+		c, web := newTestConn(t, newTestServer(8))
+		upload := newUpload(t, c, 1, false)
+		begin := fastcgi.AppendBeginRequest(nil, 2, fastcgi.BeginRequestBody{Role: fastcgi.Responder})
+		if err := c.decoder.Feed(begin); err != nil {
+			t.Fatal(err)
+		}
+		fill(t, c, upload)
+		time.AfterFunc(2*requestTimeout, func() { upload.stdin.Read(make([]byte, partBytes), time.Nanosecond) })
+		c.setLastRead(time.Now())
+		c.Body(upload.id, make([]byte, partBytes), false)
+		c.updateBehindSince(true)
+		go io.Copy(io.Discard, web)
+		c.endOverdueRequests()
+		if c.decoder.NumOpen() != 1 {
+			t.Error("the incomplete request has timed out while reading was blocked")
+		}
+		time.Sleep(requestTimeout)
+		c.endOverdueRequests()
+		if c.decoder.NumOpen() != 0 {
+			t.Error("the incomplete request does not time out")
+		}
+		web.Close()
+	})
+}
+
 // The memory of a body that its host does not read is bounded, and is released when the request ends.
 func TestUnreadBodyIsBounded(t *testing.T) {
 	s := newTestServer(8)
