fleet: the test of a silent holder moves the last publication into the past

The clock of leases is real, so the virtual sleeps of the tests of lists let no interval pass on it: a heartbeat by timer was found by its first publication only. The test now moves the time of the last publication, and with heartbeats at each check of the list put back it fails with 2 publications, want none.

--- a/internal/fleet/endpointlist_test.go
+++ b/internal/fleet/endpointlist_test.go
@@ -127,7 +127,7 @@
 		stop := run(l, &pool)
 		synctest.Wait()
 		publish(t, l, endpoints.Update{Kind: endpoints.KindFull, Version: 1}, discovery.Member{ID: "a", State: discovery.StateReady})
-		time.Sleep(endpoints.HeartbeatInterval)
+		synctest.Wait()
 		if n := l.watches.Load(); n != 0 {
 			t.Errorf("%d watches of a list that the fleet publishes, want none", n)
 		}
@@ -159,14 +159,16 @@
 			l.do(func(x *listFollower) { n = x.publicationSeq })
 			return n
 		}
-		time.Sleep(2 * endpoints.PublicationTimeout)
+		// The clock of leases is real, so the last publication is moved to the past in place of waiting for it to be.
+		l.do(func(x *listFollower) { x.publishedAt = leaseholder.Now() - endpoints.PublicationTimeout })
+		time.Sleep(2 * watchCheckInterval) // virtual: the list is checked again
 		if n := publications(); n != 0 {
 			t.Errorf("%d publications while discovery is silent, want none", n)
 		}
 		for range 3 {
 			l.do((*listFollower).publishHeartbeat)
-			l.do((*listFollower).publishHeartbeat)                                       // discovery confirms the list twice at once
-			l.do(func(x *listFollower) { x.publishedAt -= endpoints.HeartbeatInterval }) // the clock of leases is real
+			l.do((*listFollower).publishHeartbeat) // discovery confirms the list twice at once
+			l.do(func(x *listFollower) { x.publishedAt -= endpoints.HeartbeatInterval })
 		}
 		if n := publications(); n != 3 {
 			t.Errorf("%d publications after three heartbeats of discovery, want 3", n)
