HTTP/1.1 hosts: a response written with pauses is no longer cut off within a chunk

Cause: fillWithin bounded every read behind the first byte by responseReadTimeout, 250 ms, and the chunked reader of net/http/httputil reads on until it has as much content as was asked for, so that a pause within a chunk, or between two whose framing had arrived, ended the attempt as malformed. While it waited, it also held back what it had read.

Change: the body is decoded by httpwire.ChunkedDecoder, which waits for nothing once a byte has arrived.

--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -113,6 +113,11 @@
 	return max(0, time.Until(at))
 }
 
+// MayRunTwice reports whether another attempt may follow one that may have run.
+func (x *Request) MayRunTwice() bool {
+	return x.Route == nil || x.Route.Classes[x.Class].Idempotency != balancer.NonIdempotent
+}
+
 // Close finishes a request, and reports whether it was open. The caller that finishes it delivers the response, so
 // that there is exactly one.
 func (x *Request) Close() bool { return x.finished.CompareAndSwap(false, true) }
--- a/internal/httpwire/chunked.go
+++ b/internal/httpwire/chunked.go
@@ -19,6 +19,11 @@
 
 // ChunkedDecoder decodes a chunked body (RFC 9112, 7.1). The zero value is ready to decode a body from its first byte.
 type ChunkedDecoder struct {
+	// FromServer makes the decoder accept what some servers send and what is unambiguous: white space after the size of a
+	// chunk, and any field in the trailer section, as those that must not be there are not forwarded. It must be set
+	// before the first byte is decoded.
+	FromServer bool
+
 	state         chunkState
 	remaining     int64  // content bytes of the current chunk that have not been decoded yet
 	sizeDigits    int    // number of size digits decoded in the current size line
@@ -131,7 +136,7 @@
 		}
 		return nil
 	}
-	if b == ';' && c.sizeDigits > 0 {
+	if c.sizeDigits > 0 && (b == ';' || c.FromServer && isSpace(b)) {
 		c.state = stateExtension
 		return nil
 	}
@@ -179,16 +184,27 @@
 	if err != nil {
 		return err
 	}
-	for name := range trailer {
-		if forbiddenInTrailer[name] {
-			return ErrTrailerField
-		}
+	if !c.FromServer && hasForbiddenField(trailer) {
+		return ErrTrailerField
 	}
 	c.trailerText = nil
 	c.state = stateDone
 	return nil
 }
 
+// hasForbiddenField reports whether a trailer section has a field that must not be in one.
+func hasForbiddenField(trailer http.Header) bool {
+	for name := range trailer {
+		if forbiddenInTrailer[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// isSpace reports whether b is white space within a line (RFC 9110, 5.6.3).
+func isSpace(b byte) bool { return b == ' ' || b == '\t' }
+
 // hexDigit returns the value of a hexadecimal digit.
 func hexDigit(b byte) (value int64, ok bool) {
 	switch {
--- a/internal/httpwire/chunked_test.go
+++ b/internal/httpwire/chunked_test.go
@@ -116,3 +116,29 @@
 		}
 	})
 }
+
+// A decoder of responses accepts white space after a size and any trailer field, as some servers send them; a decoder of
+// requests rejects both.
+func TestChunkedDecoderFromServerIsLenient(t *testing.T) {
+	for _, text := range []string{
+		"1 \r\na\r\n0\r\n\r\n",
+		"1\t;x=y\r\na\r\n0  \r\n\r\n",
+		"1\r\na\r\n0\r\nContent-Length: 1\r\n\r\n",
+	} {
+		for _, fromServer := range []bool{true, false} {
+			decoder := ChunkedDecoder{FromServer: fromServer}
+			var content []byte
+			var err error
+			for rest := []byte(text); len(rest) > 0 && err == nil; {
+				var used int
+				var part []byte
+				used, part, err = decoder.Next(rest)
+				content = append(content, part...)
+				rest = rest[used:]
+			}
+			if isAccepted := err == nil && decoder.Done() && string(content) == "a"; isAccepted != fromServer {
+				t.Errorf("%q, from a server %t: accepted %t, error %v", text, fromServer, isAccepted, err)
+			}
+		}
+	}
+}
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -22,10 +22,6 @@
 	unlimitedBytes = math.MaxInt64
 	// maxHeaderTime limits the time for a header section to arrive once it has begun, on plain routes.
 	maxHeaderTime = 5 * time.Second
-	// responseReadTimeout limits the time without a byte within the header section and the buffered body of a response
-	// in the platform's protocol. TCP retransmits a lost segment after some 200 ms. The buffered part of a body that is
-	// longer than maxSmallBytes or of unknown length is limited by upstream.MaxBufferTime, see responsebody.go.
-	responseReadTimeout = 250 * time.Millisecond
 	// versionPrefix is the start of every response.
 	versionPrefix = "HTTP/1."
 )
@@ -90,7 +86,7 @@
 	if isPlain {
 		c.SetReadDeadline(time.Now().Add(maxHeaderTime))
 	} else {
-		c.setReadTimeout(responseReadTimeout)
+		c.setReadTimeout(upstream.MaxStall(x))
 	}
 	// Bytes that are not a response may contain no line end; they are rejected without waiting for one.
 	start, _ := c.in.Peek(min(c.in.Buffered(), len(versionPrefix)))
--- a/internal/upstream/http1/responsebody.go
+++ b/internal/upstream/http1/responsebody.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
-	"net/textproto"
 	"os"
 	"strings"
 	"time"
@@ -21,15 +19,12 @@
 // the buffered part of a response is malformed or incomplete, the attempt fails and the request can have another attempt.
 //
 //	route      framing                               buffered                  time limit
-//	platform   Content-Length up to maxSmallBytes    all                       responseReadTimeout for each read
+//	platform   Content-Length up to maxSmallBytes    all                       upstream.MaxStall for each read
 //	plain      Content-Length up to maxSmallBytes    all                       the idle timeout of the route's Pace
 //	platform   Content-Length above maxSmallBytes    maxLargeBuffered at most  upstream.MaxBufferTime
-//	platform   chunked, or ended by the connection   maxSmallBytes at most     upstream.MaxBufferTime, see below
+//	platform   chunked, or ended by the connection   maxSmallBytes at most     upstream.MaxBufferTime
 //	plain      any other                             nothing
 //
-// When a part of a chunk or of the trailer section has arrived, each read that waits for more of it is limited by
-// responseReadTimeout. The buffering of a chunked body may therefore take longer than upstream.MaxBufferTime.
-//
 // While the memory for large responses is used up, a body with a Content-Length above maxSmallBytes is not buffered at all.
 const (
 	// maxSmallBytes is the length of the longest body that is always buffered. The memory for longer ones is reserved
@@ -42,9 +37,6 @@
 	// longer than maxSmallBytes is buffered before any of it is forwarded. Most malformed responses are detected by
 	// then, and the request can have another attempt.
 	maxLargeBuffered = 512 << 10
-	// maxChunkWait is the maximum length of a read from a chunked body while the read buffer of the connection is
-	// full. It is more than the buffer holds, as more bytes have probably arrived.
-	maxChunkWait = 16 << 10
 )
 
 // readBody determines how the body of a response is delimited (RFC 9112, 6.3), reads the part that is buffered and sets the
@@ -68,8 +60,7 @@
 		if !strings.EqualFold(strings.TrimSpace(codings[0]), "chunked") {
 			return errMalformedResponse
 		}
-		s.isChunked = true
-		s.reader = httputil.NewChunkedReader(c.in)
+		s.decoder = &httpwire.ChunkedDecoder{FromServer: true}
 	default:
 		if isPlatform && !announcesClose(response.Header) {
 			return errMalformedResponse // a truncated body could not be distinguished from a complete one
@@ -93,12 +84,11 @@
 	deadline body.LazyDeadline
 	due      time.Time // when the last byte is due; zero: only the pace limits the body
 
-	reader       io.Reader
-	length       int64 // Content-Length; -1: unknown
+	reader       io.Reader                // the body, unless it is chunked
+	decoder      *httpwire.ChunkedDecoder // of a chunked body; nil for another one
+	length       int64                    // Content-Length; -1: unknown
 	readBytes    int64
-	isChunked    bool
 	endsWithConn bool // whether the body is delimited by the end of the connection
-	trailer      http.Header
 }
 
 func newResponseStream(c *conn, x *engine.Request, up *upload, header http.Header) *responseStream {
@@ -183,13 +173,7 @@
 	page := body.AllocPage(maxSmallBytes)
 	n, err := s.fillWithin(page, upstream.MaxBufferTime)
 	atEnd := err == io.EOF
-	if atEnd {
-		err = nil
-		if s.isChunked {
-			_, err = s.conn.readTrailer() // the fields are discarded, as the platform's protocol has no trailer fields
-		}
-	}
-	if err != nil {
+	if err != nil && !atEnd {
 		body.FreePage(page)
 		return bodyError(err)
 	}
@@ -202,23 +186,18 @@
 	return nil
 }
 
-// fillWithin reads until p is full, the body ends, or no more bytes are available when limit has passed.
+// fillWithin reads until p is full, the body ends, or limit has passed.
 func (s *responseStream) fillWithin(p []byte, limit time.Duration) (n int, err error) {
-	c := s.conn
-	until := time.Now().Add(limit)
+	s.conn.readTimeout = 0
+	s.conn.SetReadDeadline(time.Now().Add(limit))
 	for n < len(p) && err == nil {
-		if c.in.Buffered() == 0 {
-			c.readTimeout = 0
-			c.SetReadDeadline(until)
-			if _, err := c.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
-				return n, nil
-			}
-			c.readTimeout = responseReadTimeout
-		}
 		var part int
 		part, err = s.readAvailable(p[n:])
 		n += part
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
 	return n, err
 }
 
@@ -232,26 +211,54 @@
 	return errMalformedResponse
 }
 
-// readAvailable reads what the connection has buffered, or waits for the next bytes. A chunked reader alone would read
-// until p is full or the chunk has ended, however slowly the bytes arrive.
+// readAvailable reads what has arrived, and waits only if that is nothing. A host may pause at any byte, so what has
+// arrived must not wait for more. An exceeded deadline is not final: a later call goes on.
 func (s *responseStream) readAvailable(p []byte) (int, error) {
-	if s.isChunked {
-		p = p[:min(len(p), s.availableOfChunk(len(p)))]
+	if s.decoder == nil {
+		return s.reader.Read(p)
+	}
+	n := 0
+	for n < len(p) && !s.decoder.Done() {
+		if s.conn.in.Buffered() == 0 && n > 0 {
+			return n, nil
+		}
+		part, err := s.readChunked(p[n:])
+		n += part
+		if err != nil {
+			return n, err
+		}
+	}
+	if n == 0 && s.decoder.Done() {
+		return 0, io.EOF
 	}
-	return s.reader.Read(p)
+	return n, nil
 }
 
-// availableOfChunk returns how many bytes of a chunked body can be read without a long wait. It returns most, the number
-// of bytes wanted, if the connection has failed.
-func (s *responseStream) availableOfChunk(most int) int {
+// readChunked waits until a byte has arrived, and decodes some of what has. It may return no content, as the bytes may all
+// be framing. The content of a long chunk is read without a copy in the connection's buffer.
+func (s *responseStream) readChunked(p []byte) (int, error) {
 	in := s.conn.in
-	if in.Buffered() >= in.Size() {
-		return maxChunkWait
+	if remaining := s.decoder.Remaining(); remaining > 0 && in.Buffered() == 0 {
+		n, err := in.Read(p[:min(int64(len(p)), remaining)])
+		s.decoder.Consume(int64(n))
+		return n, unexpectedEOF(err)
 	}
 	if _, err := in.Peek(1); err != nil {
-		return most // the read that follows returns the error
+		return 0, unexpectedEOF(err)
 	}
-	return in.Buffered()
+	encoded, _ := in.Peek(in.Buffered())
+	used, content, err := s.decoder.Next(encoded[:min(len(encoded), len(p))])
+	n := copy(p, content)
+	in.Discard(used)
+	return n, err
+}
+
+// unexpectedEOF converts io.EOF, which means that the connection ended within the body, to io.ErrUnexpectedEOF.
+func unexpectedEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // Read reads the next part of the body, and fails if the host does not keep the pace. It returns an error other than
@@ -277,37 +284,17 @@
 	if s.length >= 0 && s.readBytes < s.length {
 		return n, io.ErrUnexpectedEOF
 	}
-	if s.isChunked {
-		s.trailer, err = s.conn.readTrailer()
-		if err != nil {
-			return n, err
-		}
-	}
 	return n, io.EOF
 }
 
-// readTrailer reads the trailer section (RFC 9112, 7.1.2), which follows the last chunk.
-func (c *conn) readTrailer() (http.Header, error) {
-	c.headerLimit.N = maxHeaderBytes
-	defer func() { c.headerLimit.N = unlimitedBytes }()
-	start, err := c.in.Peek(len(crlf))
-	if err != nil {
-		return nil, io.ErrUnexpectedEOF
-	}
-	if string(start) == "\r\n" {
-		c.in.Discard(len(crlf))
-		return nil, nil
-	}
-	fields, err := textproto.NewReader(c.in).ReadMIMEHeader()
-	if err != nil {
-		return nil, errMalformedResponse
+// Trailer returns the trailer section (RFC 9112, 7.1.2), once Read has returned io.EOF.
+func (s *responseStream) Trailer() http.Header {
+	if s.decoder == nil {
+		return nil
 	}
-	return http.Header(fields), nil
+	return s.decoder.Trailer
 }
 
-// Trailer returns the trailer section, once Read has returned io.EOF.
-func (s *responseStream) Trailer() http.Header { return s.trailer }
-
 // Close releases the connection. complete reports whether the body was read to its end; only then is the connection
 // kept, if it can carry another request.
 func (s *responseStream) Close(complete bool) {
