Uploads: the response is due from when the last byte may have been sent, read or not

Cause: a streamed body had no due time until the gateway had read its last byte. While a host reads slowly the gateway reads no further, so that byte waits in the sockets between client and gateway; its time began when the gateway came to it (upload.setComplete, time.Now()). Only a single blocked write was bounded (UploadPace), so that writes which were each unblocked in time added up.

Change: engine.BodyArrival. The frontend tells since when the last byte may have been sent, and Engine.await ends the request by that time. Over HTTP/1.1 that is since the gateway last waited for the client (bodyArrival): the receive buffer of the socket, the receive window and the 4 MiB that a client's send buffer holds prove that the last byte is still to come. Over FastCGI it is since reading was blocked by a body (unreadInput). The client gets a rejection: the gateway has not read the last byte and sends none that it reads later (Request.ContentRead). A last byte that is read late counts from when it may have been sent. Plain routes are as before: the pace of their file bounds an upload.

Given up: where client and host are about equally slow, and the rest of a chunked body fits into the sockets, a request may be rejected though its client is still sending. No buffer is added.

--- a/internal/engine/do.go
+++ b/internal/engine/do.go
@@ -8,10 +8,6 @@
 	"dunemoor/internal/route"
 )
 
-// maxUploadTime is the longest time that a streamed request body may take to arrive in total. A gigabyte arrives in that
-// time at 12 kB/s.
-const maxUploadTime = 24 * time.Hour
-
 // Do submits a request to the engine and waits for its response. waiting is false if ctx ended first: the response is
 // dropped, and nothing more is sent for the request. The caller releases the response, and closes the stream of the
 // request's body if it has one.
@@ -45,49 +41,6 @@
 	})
 }
 
-// await waits until there is a response to a request, its client disconnects, or the response is due.
-func (e *Engine) await(ctx context.Context, x *Request) (resp Response, waiting bool) {
-	shutdown := e.shutdown.begun
-	dueTimer := time.NewTimer(x.waitTime())
-	defer dueTimer.Stop()
-	for {
-		select {
-		case resp = <-x.response:
-			return resp, true
-		case <-x.bodyArrived:
-			dueTimer.Reset(x.waitTime())
-		case <-shutdown:
-			shutdown = nil
-			dueTimer.Reset(x.waitTime())
-		case <-ctx.Done():
-			if x.Close() {
-				e.handleFinishedByDo(x)
-			} else {
-				resp = <-x.response
-				resp.Release()
-			}
-			return Response{}, false
-		case <-dueTimer.C:
-			// The balancer should have decided on a response by now. The client gets a failure without waiting any
-			// longer. The balancer, and so the recording, is notified that the client has disconnected, unless the body
-			// was being streamed. This response is not counted for the recording's trigger (countResponse).
-			if x.Close() {
-				e.handleFinishedByDo(x)
-				return Response{Kind: Failed}, true
-			}
-			return <-x.response, true
-		}
-	}
-}
-
-// waitTime returns how long to wait for the response.
-func (x *Request) waitTime() time.Duration {
-	if due, known := x.Due(); known {
-		return time.Until(due)
-	}
-	return maxUploadTime // the pace that is required of the upload ends the request sooner
-}
-
 // beginStreaming handles the event that an attempt is about to send a part of the request's body that is not
 // buffered. From then on the request can't be sent again, so the attempt in flight is its last, and the balancer
 // treats the request as finished. The attempt is reported as Canceled, so that the balancer derives nothing about the
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -26,6 +26,9 @@
 	SendInformational func(status int, header http.Header)
 	// Client, if set, reports whether the client is still connected.
 	Client Client
+	// BodyArrival, if set, bounds the time for a response to a request with a streamed body whose last byte has not been
+	// read yet. If it is nil only the pace of the route bounds that time.
+	BodyArrival BodyArrival
 	// Done, if set, is called once the request is finished and no attempt uses its body any more.
 	Done func()
 	// WriteBy is the time by which the last byte of the current attempt must be written; zero: any time. The loop
@@ -44,6 +47,7 @@
 
 	bodyArrived  chan struct{} // receives an item once the last byte of a streamed body has arrived
 	dueAfterBody atomic.Int64  // due time after a streamed body has arrived, as the time since processStart; 0: unknown
+	arrival      atomic.Uint32 // an arrivalState
 	finished     atomic.Bool   // whether the request has its response or its client no longer waits; set once, by Close
 	shutdown     *shutdown     // the shutdown of the engine; nil: the request was not submitted yet
 	response     chan Response // receives the response from the goroutine that closed the request
@@ -83,13 +87,34 @@
 	return !x.Finished() && (x.WriteBy.IsZero() || time.Now().Before(x.WriteBy)) && (x.Client == nil || !x.Client.Gone())
 }
 
-// BodyArrived records that the last byte of a streamed body has arrived, and when the response is due.
-func (x *Request) BodyArrived(due time.Time) {
+// arrivalState is what has become of a streamed body. It changes once.
+type arrivalState = uint32
+
+const (
+	contentArriving arrivalState = iota
+	contentRead                  // the last byte of content was read, and may be sent to a host
+	contentOverdue               // the request was rejected before that
+)
+
+// ContentRead records that the last byte of content of a streamed body was read, even if the end of the body is marked by
+// more bytes. It returns false if the request was rejected before, as its response was due: what was read must not be sent to
+// a host then.
+func (x *Request) ContentRead() bool {
+	return x.arrival.CompareAndSwap(contentArriving, contentRead) || x.arrival.Load() == contentRead
+}
+
+// BodyArrived records that the last byte of a streamed body has arrived, and when the response is due. It returns false as
+// ContentRead does.
+func (x *Request) BodyArrived(due time.Time) bool {
+	if !x.ContentRead() {
+		return false
+	}
 	x.dueAfterBody.Store(int64(due.Sub(processStart)))
 	select {
 	case x.bodyArrived <- struct{}{}:
 	default: // the request is finished, or BodyArrived was called before
 	}
+	return true
 }
 
 // Due returns when the response is due: at the Deadline, or for a streamed body at the time that BodyArrived has set,
--- a/internal/frontend/fastcgi/conn.go
+++ b/internal/frontend/fastcgi/conn.go
@@ -55,6 +55,8 @@
 	blockedAt    time.Time       // when decoding the bytes of the last read was first blocked by a body; zero if it was not
 	behindSince  time.Time       // bytes that are read next may have arrived since then; zero if all had been read before
 
+	unread unreadInput // safe for concurrent use
+
 	writeMu     sync.Mutex // serializes writes; guards writeFailed
 	writeFailed bool
 
@@ -83,7 +85,9 @@
 	defer c.server.remove(c)
 	buf := make([]byte, readBufferSize)
 	for {
+		c.unread.beginRead(time.Now())
 		n, err := c.read(buf)
+		c.unread.endRead(time.Now())
 		if n > 0 {
 			c.receive(buf[:n])
 			c.updateBehindSince(n < len(buf))
--- a/internal/frontend/fastcgi/request.go
+++ b/internal/frontend/fastcgi/request.go
@@ -117,6 +117,7 @@
 		return frontend.NewBodyTooLongError(frontend.MaxBufferedBytes)
 	default:
 		t.Body = body.NewStreamed(buf[:n], body.NewStream(source, length))
+		t.BoundArrival(&r.c.unread)
 	}
 	t.SetReceived(received)
 	return nil
@@ -162,8 +163,15 @@
 	case tooLong || tooShort:
 		return 0, frontend.NewRequestError(http.StatusBadRequest, "STDIN is not as long as CONTENT_LENGTH says")
 	}
-	if ended && !s.ticket.Body.Buffered() {
-		s.ticket.SetBodyReceived(s.request.bodyArrived)
+	if s.ticket.Body.Buffered() {
+		return n, err
+	}
+	// A responder, or a host that knows the length, may not wait for the end of STDIN.
+	if s.bytes == s.length && !s.ticket.ContentRead() {
+		return 0, body.ErrConsumed
+	}
+	if ended && !s.ticket.SetBodyReceived(s.request.bodyArrived) {
+		return 0, body.ErrConsumed
 	}
 	return n, err
 }
--- a/internal/frontend/fastcgi/stdin.go
+++ b/internal/frontend/fastcgi/stdin.go
@@ -38,7 +38,7 @@
 		return
 	}
 	if end {
-		r.bodyArrived = c.arrivalTime()
+		r.bodyArrived = c.bodyArrivalTime()
 		r.stdin.CloseWrite(io.EOF)
 		return
 	}
@@ -60,6 +60,7 @@
 	if c.blockedAt.IsZero() {
 		c.blockedAt = start
 	}
+	c.unread.blocked(start)
 	timeout := c.waits.Left()
 	isSole := !r.keepConn && !c.carriesOthers()
 	if isSole {
@@ -88,6 +89,14 @@
 	r.stdin.CloseWrite(err)
 }
 
+// bodyArrivalTime is arrivalTime for the end of a body. It may have waited together with the part that has blocked reading.
+func (c *conn) bodyArrivalTime() time.Time {
+	if since, ok := c.unread.oldest(); ok {
+		return since
+	}
+	return c.arrivalTime()
+}
+
 // arrivalTime returns the time from which the timeout of a request is computed whose last byte has just been read: the
 // time at which reading was blocked first since the connection was last read as a whole, or else the time of the read.
 func (c *conn) arrivalTime() time.Time {
--- a/internal/frontend/http1/upload.go
+++ b/internal/frontend/http1/upload.go
@@ -26,8 +26,9 @@
 	deadline body.LazyDeadline
 	maxBytes int64 // maximum length of the body; 0 means unlimited
 
-	reading sync.Mutex // held during Read
-	bytes   int64      // number of bytes read so far; guarded by reading
+	reading sync.Mutex   // held during Read
+	bytes   int64        // number of bytes read so far; guarded by reading
+	arrival *bodyArrival // of a streamed body; nil while the buffered part is read
 
 	mu     sync.Mutex // guards closed, and is held while the connection's read deadline is set
 	closed bool
@@ -91,6 +92,9 @@
 // stream sets the body of the ticket to the buffered part followed by a stream of the rest.
 func (u *upload) stream(buffered []byte, length int64) {
 	u.c.upload = u
+	u.arrival = &bodyArrival{raw: u.c.raw, length: length, bytesRead: int64(len(buffered)), unread: u.c.in.buffered()}
+	u.arrival.start(time.Now())
+	u.ticket.BoundArrival(u.arrival)
 	u.ticket.Body = body.NewStreamed(buffered, body.NewStream(u, length))
 }
 
@@ -103,17 +107,26 @@
 	if mayWait && !u.setDeadline(start) {
 		return 0, body.ErrConsumed
 	}
+	if u.arrival != nil {
+		u.arrival.beginRead(start)
+	}
 	n, err := u.body.Read(p)
+	end := time.Now()
+	if u.arrival != nil {
+		u.arrival.endRead(end, n, u.c.in.buffered())
+	}
 	u.bytes += int64(n)
-	paceErr := u.meter.Record(n, time.Since(start))
+	paceErr := u.meter.Record(n, end.Sub(start))
 	if err == nil {
 		err = paceErr
 	}
 	if u.maxBytes > 0 && u.bytes > u.maxBytes {
 		return 0, errBodyTooLong
 	}
+	if err == io.EOF && !u.setComplete() {
+		return 0, body.ErrConsumed
+	}
 	if err == io.EOF {
-		u.setComplete()
 		return n, err
 	}
 	if err != nil && u.isClosed() {
@@ -135,16 +148,28 @@
 
 // setComplete marks a streamed body as complete and starts the timeout of the request. It does nothing for a body that is
 // buffered as a whole. If the client has closed its side of the connection in the meantime, the request is canceled: as
-// the body is complete, this now counts as a disconnect.
-func (u *upload) setComplete() {
+// the body is complete, this now counts as a disconnect. It returns false if the request has been rejected meanwhile.
+func (u *upload) setComplete() bool {
 	if u.ticket.Body.Buffered() {
-		return
+		return true
+	}
+	if !u.ticket.SetBodyReceived(u.receivedAt()) {
+		return false
 	}
-	u.ticket.SetBodyReceived(time.Now())
 	u.complete.Store(true)
 	if u.cancelRequest != nil && u.c.ctx.Err() != nil {
 		u.cancelRequest()
 	}
+	return true
+}
+
+// receivedAt returns when the last byte, which has just been read, was received. On a plain route that is now. In the
+// platform's protocol the time that it waited for a slow host counts.
+func (u *upload) receivedAt() time.Time {
+	if u.ticket.BodyArrival == nil {
+		return time.Now()
+	}
+	return u.arrival.lastByteSent()
 }
 
 // isClosed reports whether Close has been called.
--- a/internal/frontend/ticket.go
+++ b/internal/frontend/ticket.go
@@ -156,8 +156,16 @@
 }
 
 // SetBodyReceived sets the time at which the last byte of a streamed body was received. It is called after the request
-// has been passed to the engine.
-func (t *Ticket) SetBodyReceived(at time.Time) { t.BodyArrived(t.responseDue(at)) }
+// has been passed to the engine. If it returns false the request has been rejected, and the last byte must not be sent.
+func (t *Ticket) SetBodyReceived(at time.Time) bool { return t.BodyArrived(t.responseDue(at)) }
+
+// BoundArrival bounds the time for the response to a request whose body is streamed, by what is known of its arrival. On
+// plain routes only the route's pace bounds an upload, as for other proxies.
+func (t *Ticket) BoundArrival(arrival engine.BodyArrival) {
+	if t.Route.Plain == nil {
+		t.BodyArrival = arrival
+	}
+}
 
 // responseDue returns the time at which the response is due for a request that was received at the given time. It is
 // balancer.ClientMargin before the client's timeout.
