Header sections have at most 100 fields, on every route and from hosts

Cause: a header section is limited to 12 KiB, but its map is not: some 2,800 fields of four bytes take 250 KB and more, for as long as the request is open, and no budget counts it. Only plain routes had a limit of fields, checked after the map was built. Responses of hosts (16 KiB) and FastCGI parameters (64 KiB) had the same multiple.

Change: the limit of fields (100, the default that plain routes had, and that of other proxies) holds on every route; it is checked on the bytes before a map is built. A response with more is malformed.

Given up: a request with more than 100 fields gets 431, a response with more is a failed attempt.

--- a/internal/fastcgi/cgi.go
+++ b/internal/fastcgi/cgi.go
@@ -17,6 +17,9 @@
 // MaxResponseHeaderBytes limits the length of the header section of a response.
 const MaxResponseHeaderBytes = 16 << 10
 
+// MaxResponseFields limits the number of different fields in the header section of a response.
+const MaxResponseFields = 100
+
 // ParseResponseHeader parses the header section of a CGI response (RFC 3875, 6.2 and 6.3) at the start of an
 // application's output. bodyStart is the index of the body in output, 0 if the header section is incomplete. Without a
 // Status field, the status is 302 if there is a Location field and 200 otherwise. The error is ErrMalformedResponse.
@@ -59,6 +62,9 @@
 		return ErrMalformedResponse
 	}
 	key := textproto.CanonicalMIMEHeaderKey(name)
+	if len(header) >= MaxResponseFields && header[key] == nil {
+		return ErrMalformedResponse
+	}
 	header[key] = append(header[key], string(bytes.Trim(value, " \t")))
 	return nil
 }
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -5,6 +5,7 @@
 package frontend
 
 import (
+	"cmp"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,7 @@
 type Admission struct {
 	Engine     *engine.Engine
 	Bodies     *body.Budget // memory budget for the bodies of requests and responses
-	MaxHeaders int          // maximum number of header fields of a request on a plain route; 0 means unlimited
+	MaxHeaders int          // maximum number of header fields of a request; 0 means DefaultMaxHeaders
 	Limits     *Limits      // nil means that no limits apply
 
 	longestDeadline atomic.Int64 // a time.Duration
@@ -43,6 +44,18 @@
 	ids          requestIDs
 }
 
+// DefaultMaxHeaders is the default of Admission.MaxHeaders. A field takes some 150 bytes of memory, however short it is.
+const DefaultMaxHeaders = 100
+
+// HeaderLimit returns the maximum number of header fields of a request, without Host. Frontends check it before they build a
+// header, as the memory for many fields is a multiple of their length.
+func (a *Admission) HeaderLimit() int { return cmp.Or(a.MaxHeaders, DefaultMaxHeaders) }
+
+// NewTooManyHeadersError returns the error of a request with more header fields than a limit.
+func NewTooManyHeadersError(limit int) error {
+	return NewRequestError(http.StatusRequestHeaderFieldsTooLarge, "more than %d headers", limit)
+}
+
 // NewAdmission returns an Admission without limits.
 func NewAdmission(e *engine.Engine, bodies *body.Budget) *Admission {
 	return &Admission{Engine: e, Bodies: bodies, drainStarted: make(chan struct{}, 1)}
--- a/internal/frontend/fastcgi/conn.go
+++ b/internal/frontend/fastcgi/conn.go
@@ -245,7 +245,7 @@
 func (c *conn) Request(id uint16, params []byte, keepConn bool, err error) {
 	r := &request{c: c, id: id, stdin: c.newStdinPipe(keepConn), keepConn: keepConn}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	m, remoteAddr, paramsErr := readMessage(params)
+	m, remoteAddr, paramsErr := readMessage(params, c.server.admission.HeaderLimit())
 	if err != nil {
 		paramsErr = frontend.NewRequestError(http.StatusRequestHeaderFieldsTooLarge, "the parameters are longer than %d bytes", fastcgi.MaxParamsBytes)
 	}
--- a/internal/frontend/fastcgi/message.go
+++ b/internal/frontend/fastcgi/message.go
@@ -13,11 +13,11 @@
 
 // readMessage converts the parameters of a request (RFC 3875, 4.1) to a Message. It also returns the parameter
 // REMOTE_ADDR, the address of the web server's client. Of m.Client it only sets Proto. The error is a
-// *frontend.RequestError.
-func readMessage(params []byte) (m frontend.Message, remoteAddr string, err error) {
+// *frontend.RequestError. More than maxHeaders headers are an error.
+func readMessage(params []byte, maxHeaders int) (m frontend.Message, remoteAddr string, err error) {
 	vars := map[string]string{}
 	m.Header = http.Header{}
-	if err := readParams(params, vars, m.Header); err != nil {
+	if err := readParams(params, maxHeaders, vars, m.Header); err != nil {
 		return m, "", err
 	}
 	m.Method = vars["REQUEST_METHOD"]
@@ -43,9 +43,13 @@
 	return m, vars["REMOTE_ADDR"], nil
 }
 
+// maxVariables is the maximum number of a request's parameters that are no headers. Web servers send about 30.
+const maxVariables = 200
+
 // readParams decodes parameters into vars, and those that represent HTTP headers also into header. Duplicates are
-// errors.
-func readParams(params []byte, vars map[string]string, header http.Header) error {
+// errors, and so are more than maxHeaders headers, or more than maxVariables other
+// parameters.
+func readParams(params []byte, maxHeaders int, vars map[string]string, header http.Header) error {
 	err := fastcgi.ForEachParam(params, func(name, value []byte) error {
 		if len(name) == 0 || strings.ContainsAny(string(value), "\x00\r\n") {
 			return frontend.NewRequestError(http.StatusBadRequest, "a parameter that can't be one")
@@ -59,6 +63,9 @@
 		if duplicate {
 			return frontend.NewRequestError(http.StatusBadRequest, "%.64q is there more than once", key)
 		}
+		if len(header) > maxHeaders || len(vars) > maxHeaders+maxVariables {
+			return frontend.NewTooManyHeadersError(maxHeaders)
+		}
 		vars[key] = string(value)
 		switch headerName {
 		case "", "Host", "Content-Length", "Content-Type": // not a header, or a header that readMessage sets or omits
--- a/internal/frontend/fastcgi/message_test.go
+++ b/internal/frontend/fastcgi/message_test.go
@@ -40,7 +40,7 @@
 		{"length with a sign", encodeParams("REQUEST_METHOD", "POST", "REQUEST_URI", "/", "CONTENT_LENGTH", "+1"), "", "", 0, 400},
 		{"empty name", encodeParams("", "x"), "", "", 0, 400},
 	} {
-		m, _, err := readMessage(tt.params)
+		m, _, err := readMessage(tt.params, frontend.DefaultMaxHeaders)
 		var requestErr *frontend.RequestError
 		if tt.status != 0 {
 			if !errors.As(err, &requestErr) || requestErr.StatusCode != tt.status {
@@ -61,7 +61,7 @@
 	f.Add(encodeParams("REQUEST_METHOD", "GET", "SCRIPT_NAME", "/\n", "HTTP_HOST", "a b"))
 	f.Add(encodeParams("REQUEST_METHOD", "GET", "REQUEST_URI", "/", "HTTP_A_B", "1", "HTTP_a_b", "2", "HTTP_PROXY", "x", "HTTP_TRANSFER_ENCODING", "chunked"))
 	f.Fuzz(func(t *testing.T, params []byte) {
-		m, _, err := readMessage(params)
+		m, _, err := readMessage(params, frontend.DefaultMaxHeaders)
 		if err != nil {
 			return
 		}
--- a/internal/frontend/http1/request.go
+++ b/internal/frontend/http1/request.go
@@ -18,6 +18,9 @@
 	errHeaderTooLong = frontend.NewRequestError(http.StatusRequestHeaderFieldsTooLarge, "the head is too long")
 )
 
+// hostFields is the number of fields that don't count towards the limit of header fields: Host.
+const hostFields = 1
+
 // readRequest reads and parses the header section of the next request. The error is errNoRequest, or an error whose
 // text is sent to the client.
 func (s *Server) readRequest(c *clientConn, first bool) error {
@@ -30,7 +33,12 @@
 	if err != nil {
 		return err
 	}
-	err = httpwire.ParseRequest(c.in.unread()[:size], &c.request)
+	section := c.in.unread()[:size]
+	if limit := s.admission.HeaderLimit(); httpwire.CountFields(section) > limit+hostFields {
+		c.in.consume(size)
+		return frontend.NewTooManyHeadersError(limit)
+	}
+	err = httpwire.ParseRequest(section, &c.request)
 	c.in.consume(size)
 	if err != nil {
 		c.request = httpwire.Request{}
--- a/internal/frontend/plain.go
+++ b/internal/frontend/plain.go
@@ -14,10 +14,6 @@
 // optional. The route determines the class and the timeout. A request without a valid id is assigned one; an id that
 // the client has set is forwarded and does not have to be unique.
 func (t *Ticket) preparePlain(m *Message) error {
-	limit := t.admission.MaxHeaders
-	if limit > 0 && countFields(m.Header) > limit {
-		return NewRequestError(http.StatusRequestHeaderFieldsTooLarge, "more than %d headers", limit)
-	}
 	plain := t.Route.Plain
 	t.Class = plain.Class
 	if !t.mayBeRetried(m) {
--- a/internal/frontend/ticket.go
+++ b/internal/frontend/ticket.go
@@ -54,6 +54,9 @@
 	if err := t.checkLength(m.Length); err != nil {
 		return err
 	}
+	if limit := t.admission.HeaderLimit(); countFields(m.Header) > limit {
+		return NewTooManyHeadersError(limit)
+	}
 	if t.Route.Plain != nil {
 		return t.preparePlain(m)
 	}
--- a/internal/httpwire/header.go
+++ b/internal/httpwire/header.go
@@ -26,6 +26,10 @@
 	}
 }
 
+// CountFields returns the number of field lines of a header section that includes the first line of its message and the empty
+// line.
+func CountFields(section []byte) int { return bytes.Count(section, []byte{'\n'}) - 2 }
+
 // cutLine splits s after its first line, which must end in CRLF. line does not contain the CRLF. The callers reject
 // lines that contain another CR.
 func cutLine(s string) (line, rest string, ok bool) {
--- a/internal/upstream/http1/response.go
+++ b/internal/upstream/http1/response.go
@@ -18,6 +18,9 @@
 const (
 	// maxHeaderBytes limits the header section of a response, and its trailer section.
 	maxHeaderBytes = 16 << 10
+	// maxHeaderFields limits the number of different fields in the header section of a response, as a field takes some 150
+	// bytes of memory, however short it is.
+	maxHeaderFields = 100
 	// unlimitedBytes removes the limit of conn.headerLimit.
 	unlimitedBytes = math.MaxInt64
 	// maxHeaderTime limits the time for a header section to arrive once it has begun, on plain routes.
@@ -118,7 +121,7 @@
 	}
 	fields, err := c.headerReader.ReadMIMEHeader()
 	var malformed textproto.ProtocolError
-	if errors.As(err, &malformed) {
+	if errors.As(err, &malformed) || len(fields) > maxHeaderFields {
 		err = errMalformedResponse
 	}
 	c.lastProto = proto
