FastCGI frontend: a web server that reads no responses is no longer read from

Cause: a request leaves the decoder's table, which bounds the requests of a connection at 32, before its last records are written (startEnding). While the write of one response is blocked, for up to a minute, each later request that is answered at once waits behind it with a goroutine and a buffer, and its place in the table is free for the next.

Change: reading waits while the last records of 32 requests are not written (conn.awaitLastWrites). What waits meanwhile counts from then.

Given up: a web server that does not read its responses is not read from, until the write's timeout ends the connection.

TestUnreadResponsesAreBounded fails without the wait (more than 33 requests held), and passes with it.

--- a/internal/frontend/fastcgi/closing.go
+++ b/internal/frontend/fastcgi/closing.go
@@ -6,6 +6,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"dunemoor/internal/fastcgi"
 )
 
 // A connection that is to be closed carries its requests to their end first. It carries a request from the first byte of
@@ -21,6 +23,8 @@
 	// lingerTimeout and maxLingerBytes bound the input that is read and discarded after the last response.
 	lingerTimeout  = 500 * time.Millisecond
 	maxLingerBytes = 256 << 10
+	// maxEnding is the maximum number of requests of a connection whose last records wait to be written.
+	maxEnding = fastcgi.MaxRequestsPerConn
 	// pollTimeout is the time for which read waits for input that has arrived already, on a connection without a file
 	// descriptor.
 	pollTimeout = time.Millisecond
@@ -71,9 +75,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending--
+	c.endingDone.Signal()
 	c.interruptRead()
 }
 
+// awaitLastWrites waits while the last records of too many requests are not written yet. A web server that does not read its
+// responses is not read from, so that it can't make the gateway hold more and more of them. The writes have timeouts.
+func (c *conn) awaitLastWrites() {
+	start := time.Now()
+	c.mu.Lock()
+	mustWait := c.ending >= maxEnding
+	for c.ending >= maxEnding {
+		c.endingDone.Wait()
+	}
+	c.mu.Unlock()
+	if mustWait {
+		c.unread.blocked(start)
+		c.setLastRead(time.Now()) // the time in which nothing was read times out no incomplete request
+	}
+}
+
 // closeWhenIdle closes the connection once it carries no request.
 func (c *conn) closeWhenIdle() {
 	c.mu.Lock()
--- a/internal/frontend/fastcgi/closing_test.go
+++ b/internal/frontend/fastcgi/closing_test.go
@@ -289,3 +289,41 @@
 		}
 	})
 }
+
+// A web server that sends requests and reads no responses makes the connection hold a bounded number of them, however many it
+// sends.
+func TestUnreadResponsesAreBounded(t *testing.T) {
+	const requests = 20 * maxEnding
+	c, web := newTestConn(t, newTestServer(8))
+	held := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.ending + len(c.requests)
+	}
+	feeding := make(chan error, 1)
+	go func() {
+		var err error
+		for id := uint16(1); id <= requests && err == nil; id++ {
+			err = c.decoder.Feed(requestRecords(id, fastcgi.KeepConn))
+			testutil.WaitUntil(t, "the response is being written", func() bool {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				return len(c.requests) == 0
+			})
+		}
+		feeding <- err
+	}()
+	testutil.WaitUntil(t, "responses wait for the web server", func() bool { return held() >= maxEnding })
+	for range 100 {
+		if n := held(); n > maxEnding+1 {
+			t.Errorf("%d requests are held, want at most %d", n, maxEnding+1)
+			break
+		}
+		time.Sleep(testutil.PollInterval)
+	}
+	go io.Copy(io.Discard, web)
+	if err := <-feeding; err != nil {
+		t.Error(err)
+	}
+	web.Close()
+}
--- a/internal/frontend/fastcgi/conn.go
+++ b/internal/frontend/fastcgi/conn.go
@@ -61,6 +61,7 @@
 	writeFailed bool
 
 	mu          sync.Mutex // guards the fields below
+	endingDone  *sync.Cond // signaled when ending decreases
 	requests    map[uint16]*request
 	ending      int    // number of requests that are no longer in requests, but whose last records are not written yet
 	closing     bool   // the connection is closed once it carries no request
@@ -75,6 +76,7 @@
 // newConn returns a conn for an accepted connection.
 func newConn(s *Server, nc net.Conn, o *ListenOptions) *conn {
 	c := &conn{server: s, nc: nc, options: o, requests: map[uint16]*request{}, lastRead: time.Now()}
+	c.endingDone = sync.NewCond(&c.mu)
 	c.decoder = fastcgi.NewServer(c, s.maxConns)
 	return c
 }
@@ -243,6 +245,7 @@
 // Request implements fastcgi.ServerHandler. It starts a request whose parameters are complete. If err is not nil, the
 // parameters are too long, and the request is answered with an error.
 func (c *conn) Request(id uint16, params []byte, keepConn bool, err error) {
+	c.awaitLastWrites()
 	r := &request{c: c, id: id, stdin: c.newStdinPipe(keepConn), keepConn: keepConn}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	m, remoteAddr, paramsErr := readMessage(params, c.server.admission.HeaderLimit())
