HTTP/1.1 clients: pipelined requests are not forwarded once their client has left unseen

Cause: the end of a connection is detected by the kernel's event, whatever is unread. Where more is unread than the receive window takes, the end waits in the client's send buffer behind requests, and the gateway read and forwarded them one after the other.

Change: before a request is forwarded, up to 64 KiB behind it are read (Server.readAhead, reserved in the budget of request bodies), so that the window opens. If as much is unread after that, the request gets 503 and the connection is closed; an attempt that would begin later is not sent (clientConn.Gone).

Given up: a client that pipelines more than some 80 KiB of requests gets 503 and a close, and sends the rest again on another connection. 128 KiB of the budget for each connection that pipelines more than an eighth of its receive buffer.

A close with unread responses and a reset were seen in time before too. Web servers over FastCGI: not shown, their records are read without waiting for responses.

--- a/internal/frontend/http1/bodyarrival.go
+++ b/internal/frontend/http1/bodyarrival.go
@@ -2,18 +2,12 @@
 
 import (
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
 	// maxClientBuffer is the most that a client's send buffer holds, in bytes, by the default of Linux (tcp_wmem).
 	maxClientBuffer = 4 << 20
-	// openWindowDivisor is the part of the receive buffer, one in openWindowDivisor, up to which received bytes leave the
-	// receive window open. The client's send buffer is empty then.
-	openWindowDivisor = 8
 	// minClientWait is the shortest wait for bytes that shows that the client had none to send. A client whose send buffer
 	// was full sends more within the round trip that opens the receive window again.
 	minClientWait = 5 * time.Millisecond
@@ -24,7 +18,7 @@
 // network, and the client's send buffer. The last can only hold bytes while the receive window is closed, and holds
 // maxClientBuffer at most.
 type bodyArrival struct {
-	raw    syscall.RawConn
+	input  socketInput
 	length int64 // Content-Length; -1: unknown
 
 	mu           sync.Mutex // guards the fields below
@@ -76,7 +70,7 @@
 
 // setCheckpoint sets the checkpoint to what may have been sent by now. The caller holds mu.
 func (a *bodyArrival) setCheckpoint(now time.Time) {
-	a.checkpoint = arrivalCheckpoint{now, a.bytesRead + int64(a.unread) + int64(max(a.received(), 0)) + maxClientBuffer}
+	a.checkpoint = arrivalCheckpoint{now, a.bytesRead + int64(a.unread) + int64(max(a.input.unread(), 0)) + maxClientBuffer}
 }
 
 // advance sets incompleteAt to a time, unless a later one is known. The caller holds mu.
@@ -105,8 +99,8 @@
 
 // isIncomplete reports whether the last byte has provably not been sent. The caller holds mu.
 func (a *bodyArrival) isIncomplete(now time.Time) bool {
-	received := a.received()
-	if received < 0 {
+	received := a.input.unread()
+	if received == unreadUnknown {
 		return false
 	}
 	isWaiting := !a.readingSince.IsZero() && now.Sub(a.readingSince) >= minClientWait
@@ -117,28 +111,5 @@
 		return a.unread == 0 && received == 0
 	}
 	notReceived := a.length - a.bytesRead - int64(a.unread) - int64(received)
-	isWindowOpen := received <= a.receiveBuffer()/openWindowDivisor
-	return notReceived > maxClientBuffer || notReceived > 0 && isWindowOpen
-}
-
-// received returns the number of bytes in the receive buffer of the socket, or -1 if it is unknown.
-func (a *bodyArrival) received() int {
-	n := -1
-	a.raw.Control(func(fd uintptr) { // the only error is that the connection is closed
-		if count, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
-			n = count
-		}
-	})
-	return n
-}
-
-// receiveBuffer returns the size of the socket's receive buffer in bytes, or 0 if it is unknown.
-func (a *bodyArrival) receiveBuffer() int {
-	size := 0
-	a.raw.Control(func(fd uintptr) {
-		if n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF); err == nil {
-			size = n
-		}
-	})
-	return size
+	return notReceived > maxClientBuffer || notReceived > 0 && a.input.isWindowOpen(received)
 }
--- a/internal/frontend/http1/conn.go
+++ b/internal/frontend/http1/conn.go
@@ -57,8 +57,11 @@
 
 	lastRequest    bool        // the table has woken the connection to close it, but a request had arrived: it is served last
 	unreadSince    time.Time   // when reading of the next request was suspended; zero if it was not
+	streamsBody    atomic.Bool // what is unread belongs to the streamed body of the current request; safe for concurrent use
 	closeDelimited atomic.Bool // the end of the streamed response is marked by closing; safe for concurrent use
 
+	readAheadBytes int64 // bytes reserved in the memory budget for requests that were read ahead
+
 	exchange
 
 	// The following fields are guarded by connTable.mu.
@@ -92,10 +95,11 @@
 	return c, nil
 }
 
-// Gone reports whether the client has disconnected. It polls the kernel for pending events first.
+// Gone reports whether the client has disconnected. It polls the kernel for pending events first. A client with many requests
+// unread behind the current one may have disconnected without a trace, and counts as gone.
 func (c *clientConn) Gone() bool {
 	c.watcher.poll()
-	return c.ctx.Err() != nil
+	return c.ctx.Err() != nil || c.mayHaveLeft()
 }
 
 // remoteAddr returns the address of the peer, which may be a proxy.
@@ -215,6 +219,7 @@
 	s.watcher.remove(c)
 	c.TCPConn.Close()
 	c.cancel()
+	s.releaseReadAhead(c)
 }
 
 // errUntrustedProxy is the error of a connection from a peer that is not among the listener's TrustedProxies, if the
--- a/internal/frontend/http1/request.go
+++ b/internal/frontend/http1/request.go
@@ -26,9 +26,13 @@
 func (s *Server) readRequest(c *clientConn, first bool) error {
 	c.body = nil
 	c.upload = nil
+	c.streamsBody.Store(false)
 	c.closeAfter = false
 	c.responseStarted = false
 	c.request = httpwire.Request{}
+	if c.in.buffered() == 0 {
+		s.releaseReadAhead(c)
+	}
 	size, err := s.readHeaderSection(c, first)
 	if err != nil {
 		return err
--- a/internal/frontend/http1/serve.go
+++ b/internal/frontend/http1/serve.go
@@ -15,6 +15,9 @@
 	"dunemoor/internal/httpwire"
 )
 
+// errTooMuchPipelined is the error of a request behind which so much is unread that its client may have disconnected.
+var errTooMuchPipelined = frontend.NewRequestError(http.StatusServiceUnavailable, "too many requests at once, trying again is harmless")
+
 // healthPath is the path of the health check.
 const healthPath = "/_health"
 
@@ -100,6 +103,10 @@
 		// streamed body has not arrived yet; SetBodyReceived follows.
 		received = time.Now()
 	}
+	if !s.readAhead(c) {
+		t.Discard()
+		return nil, errTooMuchPipelined
+	}
 	if plain := t.Route.Plain; plain != nil && plain.MaxTunnels > 0 && c.body == nil {
 		t.Upgrade = r.Upgrade
 	}
--- a/internal/frontend/http1/upload.go
+++ b/internal/frontend/http1/upload.go
@@ -92,7 +92,8 @@
 // stream sets the body of the ticket to the buffered part followed by a stream of the rest.
 func (u *upload) stream(buffered []byte, length int64) {
 	u.c.upload = u
-	u.arrival = &bodyArrival{raw: u.c.raw, length: length, bytesRead: int64(len(buffered)), unread: u.c.in.buffered()}
+	u.c.streamsBody.Store(true)
+	u.arrival = &bodyArrival{input: socketInput{u.c.raw}, length: length, bytesRead: int64(len(buffered)), unread: u.c.in.buffered()}
 	u.arrival.start(time.Now())
 	u.ticket.BoundArrival(u.arrival)
 	u.ticket.Body = body.NewStreamed(buffered, body.NewStream(u, length))
