Uploads are due in time during a shutdown too

The soak showed responses 0.6 to 1.4 s late where a shutdown had begun: Request.Due then has a time for a body that is still arriving, the end of the shutdown, and Engine.await took it in place of the arrival's. Both count now, the earlier one first.

--- a/cmd/dunemoor/soak_test.go
+++ b/cmd/dunemoor/soak_test.go
@@ -90,8 +90,11 @@
 			return
 		}
 		body := io.Reader(r.Body)
-		if s.intN(10) == 0 {
+		switch s.intN(20) {
+		case 0, 1:
 			body = slowReader{body, 100 << 10}
+		case 2, 3, 4, 5:
+			body = slowReader{body, 4 << 20}
 		}
 		if _, err := io.Copy(io.Discard, body); err != nil {
 			return
@@ -105,6 +108,7 @@
 // respond responds to a request, and reports whether the connection may be used again.
 func (s *soak) respond(c net.Conn, r *http.Request) (keep bool) {
 	id := r.Header.Get("X-Request-Id")
+	arrivedAt := time.Now()
 	fault := s.intN(100)
 	s.hosts.count(id, fault >= 5)
 	switch {
@@ -124,11 +128,14 @@
 		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood")
 		return err == nil
 	}
-	return s.respondInParts(c)
+	return s.respondInParts(c, r, arrivedAt)
 }
 
-// respondInParts writes a long response with pauses.
-func (s *soak) respondInParts(c net.Conn) (keep bool) {
+// respondInParts writes a long response with pauses. If its head is in time it must not be cut off, unless the gateway ends.
+func (s *soak) respondInParts(c net.Conn, r *http.Request, arrivedAt time.Time) (keep bool) {
+	var seconds float64
+	fmt.Sscanf(r.Header.Get("X-Timeout"), "%f", &seconds)
+	isInTime := time.Since(arrivedAt) < time.Duration(seconds*float64(time.Second))-responseSlack
 	framing := []bodyFraming{framedByLength, framedByChunks, framedByClose}[s.intN(3)]
 	content := make([]byte, soakResponseBytes)
 	encoded := framing.encode(content, 1+s.intN(30_000))
@@ -136,6 +143,9 @@
 	part := len(encoded)/(1+s.intN(6)) + 1
 	for rest := encoded; len(rest) > 0; rest = rest[min(part, len(rest)):] {
 		if _, err := c.Write(rest[:min(part, len(rest))]); err != nil {
+			if isInTime && s.mayConnect() {
+				s.Errorf("%s: %s response of a host cut off %d bytes before its end", r.Header.Get("X-Request-Id"), framing, len(rest))
+			}
 			return false
 		}
 		time.Sleep(time.Duration(s.intN(300)) * time.Millisecond)
@@ -143,6 +153,9 @@
 	return framing != framedByClose
 }
 
+// responseSlack is how long before the timeout of a request a host must have begun its response.
+const responseSlack = 150 * time.Millisecond
+
 // soakResponseBytes is the length of a long response.
 const soakResponseBytes = 130_000
 
@@ -184,13 +197,14 @@
 		framing := []bodyFraming{framedByLength, framedByChunks}[s.intN(2)]
 		length := 1
 		if isLong {
-			length = 100_000 + s.intN(500_000)
+			length = []int{200_000, 600_000, 6 << 20}[s.intN(3)]
 		}
 		header += framing.header(length)
 		content = framing.encode(make([]byte, length), 1+s.intN(30_000))
 	} else if isLong {
 		header = strings.Replace(header, "/api/1", "/api/long", 1)
 	}
+	startedAt := time.Now()
 	written := make(chan time.Time, 1)
 	go func() {
 		c.SetWriteDeadline(time.Now().Add(waitTimeout))
@@ -212,7 +226,7 @@
 		c.Close()
 	}
 	sentAt := <-written
-	s.check(class, id, response.StatusCode, respondedAt.Sub(sentAt.Add(class.timeout)))
+	s.check(class, fmt.Sprint(id, "|", len(content), "|", strings.Contains(header, "chunked"), "|", sentAt.Sub(startedAt)), response.StatusCode, respondedAt.Sub(sentAt.Add(class.timeout)))
 	if bodyErr != nil && s.mayConnect() {
 		s.Errorf("%s %s: response of status %d ends early: %v", class.name, id, response.StatusCode, bodyErr)
 	}
--- a/internal/engine/await.go
+++ b/internal/engine/await.go
@@ -56,31 +56,37 @@
 // mayBeDue returns the earliest time at which the response may be due, as far as is known now, or the next check of a
 // streamed body that is arriving. Without a BodyArrival that body has until uploadDue.
 func (x *Request) mayBeDue(uploadDue time.Time) time.Time {
-	if due, known := x.Due(); known {
-		return due
+	due, known := x.Due()
+	if !known {
+		due = uploadDue // the pace that is required of the upload ends the request sooner
 	}
-	if x.BodyArrival == nil || x.Timeout <= 0 {
-		return uploadDue // the pace that is required of the upload ends the request sooner
+	if !x.isArriving() || x.BodyArrival == nil || x.Timeout <= 0 {
+		return due
 	}
 	now := time.Now()
-	due := x.BodyArrival.EarliestEnd(now).Add(x.Timeout)
-	check := now.Add(arrivalCheckInterval)
-	if due.After(check) {
-		return check
+	return earliest(due, x.BodyArrival.EarliestEnd(now).Add(x.Timeout), now.Add(arrivalCheckInterval))
+}
+
+// earliest returns the earliest of three times.
+func earliest(a, b, c time.Time) time.Time {
+	if b.Before(a) {
+		a = b
+	}
+	if c.Before(a) {
+		a = c
 	}
-	return due
+	return a
 }
 
 // respondOverdue finishes a request whose response is due. The balancer should have decided on a response by now. The client
 // gets one without waiting any longer. The balancer, and so the recording, is notified that the client has disconnected,
 // unless the body was being streamed. This response is not counted for the recording's trigger (countResponse).
 func (e *Engine) respondOverdue(x *Request) Response {
-	_, hasDue := x.Due()
 	if !x.Close() {
 		return <-x.response
 	}
 	response := Response{Kind: Failed}
-	if !hasDue && x.arrival.CompareAndSwap(contentArriving, contentOverdue) {
+	if x.BodyArrival != nil && x.arrival.CompareAndSwap(contentArriving, contentOverdue) {
 		// Proof: the gateway has not read the last byte of the request, and sends none that it reads from now on.
 		response.Kind = Rejected
 		e.FailedUploads.NeverRan.Add(1)
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -96,6 +96,9 @@
 	contentOverdue               // the request was rejected before that
 )
 
+// isArriving reports whether the last byte of a streamed body has not been read.
+func (x *Request) isArriving() bool { return !x.Body.Buffered() && x.dueAfterBody.Load() == 0 }
+
 // ContentRead records that the last byte of content of a streamed body was read, even if the end of the body is marked by
 // more bytes. It returns false if the request was rejected before, as its response was due: what was read must not be sent to
 // a host then.
--- a/internal/frontend/http1/socketinput.go
+++ b/internal/frontend/http1/socketinput.go
@@ -10,8 +10,10 @@
 	// unreadUnknown is the result of socketInput.unread if the number can't be read.
 	unreadUnknown = -1
 	// openWindowDivisor is the part of the receive buffer, one in openWindowDivisor, up to which unread bytes leave the
-	// receive window open.
+	// receive window open, and maxOpenUnread is how many bytes do so however large that buffer has grown: the window that
+	// the kernel advertises grows more slowly.
 	openWindowDivisor = 8
+	maxOpenUnread     = 16 << 10
 )
 
 // socketInput is what the kernel has received on a connection and the gateway has not read. While the receive window is open
@@ -37,7 +39,7 @@
 			size = n
 		}
 	})
-	return unread <= size/openWindowDivisor
+	return unread <= min(size/openWindowDivisor, maxOpenUnread)
 }
 
 // mayHideClose reports whether so much is unread that the close of the connection by the peer may not have been received.
