Request ids: kept for 4 s after their request, and at most 200,000 of them

Cause: the id of a request that has ended was kept for 2 to 4 s, by the phase of the table's rotation, where clients wait up to 3 s and hosts run on. The number of ids was bounded by the rate alone.

Change: 4 to 8 s, and a rotation after 100,000 ids. At over 12,500 requests a second the retention is shorter for that.

TestRequestIDOfDepartedClientIsKept failed with 2 s (free 2.3 s after its end), and passes. TestRecentRequestIDsAreBounded is new.

--- a/internal/frontend/ids.go
+++ b/internal/frontend/ids.go
@@ -7,16 +7,20 @@
 )
 
 const (
-	// idRetention is the minimum time for which an id is kept after its request has ended, because a duplicate may
-	// still be in transit. An id is kept for at most twice this time.
-	idRetention = 2 * time.Second
+	// idRetention is the minimum time for which an id is kept after its request has ended, unless there are more than
+	// maxRecentIDs. A client that has left may send a request again as long as it would have waited for its response, 3 s
+	// at most, and a host may run the first one that long. An id is kept for at most twice this time.
+	idRetention = 4 * time.Second
+	// maxRecentIDs is the number of ended requests whose ids are kept for sure; twice as many are kept at most. An id
+	// takes some 20 bytes.
+	maxRecentIDs = 100_000
 	// maxIDLength is the maximum length of a request id in bytes.
 	maxIDLength = 64
 )
 
 // requestIDs holds the ids of requests that are open or have recently ended, so that no id is used twice: hosts cannot
-// distinguish two requests with the same id. Its size is bounded by the number of client connections plus the number of
-// requests within twice idRetention.
+// distinguish two requests with the same id. Its size is bounded by the number of client connections plus twice
+// maxRecentIDs.
 type requestIDs struct {
 	mu        sync.Mutex          // guards the fields below
 	open      map[uint64]struct{} // hashes of the ids of open requests
@@ -52,7 +56,7 @@
 		return
 	}
 	age := now.Sub(s.rotatedAt)
-	if age <= idRetention {
+	if age <= idRetention && len(s.recent) < maxRecentIDs {
 		return
 	}
 	s.older = s.recent
--- a/internal/frontend/ids_test.go
+++ b/internal/frontend/ids_test.go
@@ -39,3 +39,38 @@
 		t.Error("an id whose retention has passed: got in use, want free")
 	}
 }
+
+// The table of ids is bounded however many requests end within the retention, and keeps the latest.
+func TestRecentRequestIDsAreBounded(t *testing.T) {
+	ids := &requestIDs{}
+	now := time.Now()
+	for i := range 5 * maxRecentIDs {
+		id := fmt.Sprint(i)
+		ids.start(id, now)
+		ids.end(id)
+		if retained := len(ids.recent) + len(ids.older); retained > 2*maxRecentIDs {
+			t.Fatalf("got %d retained ids, want at most %d", retained, 2*maxRecentIDs)
+		}
+	}
+	if ids.start(fmt.Sprint(4*maxRecentIDs+1), now) {
+		t.Errorf("an id that has ended less than %d others ago: got free, want in use", maxRecentIDs)
+	}
+}
+
+// The id of a request whose client has left is rejected as long as that client may send it again.
+func TestRequestIDOfDepartedClientIsKept(t *testing.T) {
+	const longestWait = 3 * time.Second
+	ids := &requestIDs{}
+	now := time.Now()
+	ids.start("another", now)
+	now = now.Add(1900 * time.Millisecond) // the table is rotated soon
+	ids.start("first", now)
+	ids.end("first")
+	end := now
+	for now.Sub(end) < longestWait {
+		now = now.Add(100 * time.Millisecond)
+		if ids.start("first", now) {
+			t.Fatalf("%v after its end: got free, want in use", now.Sub(end))
+		}
+	}
+}
