Drains, FastCGI congestion and overload control follow the monotonic clock

Cause: three spans were differences of wall clock times (frontend.wallClock, congestion.writeStarted, processMeter.pingSent): a step of an hour forward would end a drain's grace, mark connections to responders as blocked, and make the overload control take the process for an hour behind.

Change: all three use the monotonic clock. No step of the clock was played with real processes.

--- a/internal/frontend/health.go
+++ b/internal/frontend/health.go
@@ -23,7 +23,7 @@
 
 // StartDrain starts a drain. It does nothing if a drain is in progress.
 func (a *Admission) StartDrain() {
-	d := drain.Drain{}.Quiesce(wallClock(), drainTimes)
+	d := drain.Drain{}.Quiesce(monotonicNow(), drainTimes)
 	if !a.drain.CompareAndSwap(nil, &d) {
 		return
 	}
@@ -45,7 +45,7 @@
 	if d == nil {
 		return drain.Serving, 0
 	}
-	now := wallClock()
+	now := monotonicNow()
 	state := d.State(now)
 	next, never := d.Next(now)
 	if never {
@@ -61,8 +61,11 @@
 	return state >= drain.Leaving
 }
 
-// wallClock returns the time since the Unix epoch.
-func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+// clockStart is the origin of monotonicNow.
+var clockStart = time.Now()
+
+// monotonicNow returns the time since the start of the process. Steps of the wall clock have no effect on it.
+func monotonicNow() time.Duration { return time.Since(clockStart) }
 
 // Health reports whether requests can be served. The text is the body of the health check's response: the reason why
 // requests cannot be served, or the list of pools without an available host.
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -103,7 +103,7 @@
 			}
 			continue // the previous byte was not received yet, and at most one byte is in the pipe
 		}
-		m.pingSent.Store(time.Now().UnixNano())
+		m.pingSent.Store(monotonicNanoseconds())
 		if _, err := w.Write([]byte{1}); err != nil {
 			return
 		}
@@ -117,19 +117,25 @@
 		if _, err := r.Read(b[:]); err != nil {
 			return
 		}
-		elapsed := max(time.Now().UnixNano()-m.pingSent.Swap(0), 1)
+		elapsed := max(monotonicNanoseconds()-m.pingSent.Swap(0), 1)
 		if fastest := m.fastestPing.Load(); fastest == 0 || elapsed < fastest {
 			m.fastestPing.Store(elapsed)
 		}
 	}
 }
 
+// clockStart is the origin of monotonicNanoseconds.
+var clockStart = time.Now()
+
+// monotonicNanoseconds returns the time since the start of the process. Steps of the wall clock have no effect on it.
+func monotonicNanoseconds() int64 { return int64(time.Since(clockStart)) }
+
 // pollDelay returns the shortest delay of a byte since the last sample. If none has arrived, it returns the age of the
 // byte in the pipe.
 func (m *processMeter) pollDelay() time.Duration {
 	fastest := m.fastestPing.Swap(0)
 	if sent := m.pingSent.Load(); fastest == 0 && sent != 0 {
-		fastest = time.Now().UnixNano() - sent
+		fastest = monotonicNanoseconds() - sent
 	}
 	return time.Duration(max(fastest, 0))
 }
--- a/internal/upstream/fastcgi/congestion.go
+++ b/internal/upstream/fastcgi/congestion.go
@@ -13,8 +13,8 @@
 // congestion is what a connection records about clients that do not read their responses, and about a responder that does
 // not read its requests. Both delay all requests on the connection.
 type congestion struct {
-	readBlocked  atomic.Bool  // reading waits for a client
-	writeStarted atomic.Int64 // when the write in progress began, as Unix time in nanoseconds; 0: no write is in progress
+	readBlocked  atomic.Bool               // reading waits for a client
+	writeStarted atomic.Pointer[time.Time] // when the write in progress began; nil: no write is in progress
 
 	joined chan struct{} // has an item if a request has been started since the last receive
 
@@ -27,13 +27,16 @@
 // isBlocked reports whether a request that is started on the connection now may be delayed by others.
 func (g *congestion) isBlocked() bool {
 	started := g.writeStarted.Load()
-	isWriteBlocked := started != 0 && time.Since(time.Unix(0, started)) > maxWriteTime
+	isWriteBlocked := started != nil && time.Since(*started) > maxWriteTime
 	return isWriteBlocked || g.readBlocked.Load()
 }
 
-func (g *congestion) startWrite() { g.writeStarted.Store(time.Now().UnixNano()) }
+func (g *congestion) startWrite() {
+	now := time.Now()
+	g.writeStarted.Store(&now)
+}
 
-func (g *congestion) endWrite() { g.writeStarted.Store(0) }
+func (g *congestion) endWrite() { g.writeStarted.Store(nil) }
 
 // requestStarted is called when a request has been started on the connection.
 func (g *congestion) requestStarted() {
--- a/internal/upstream/fastcgi/congestion_test.go
+++ b/internal/upstream/fastcgi/congestion_test.go
@@ -137,7 +137,8 @@
 	if c.congestion.isBlocked() {
 		t.Error("a write that has just begun blocks its connection")
 	}
-	c.congestion.writeStarted.Store(time.Now().Add(-2 * maxWriteTime).UnixNano())
+	writeStarted := time.Now().Add(-2 * maxWriteTime)
+	c.congestion.writeStarted.Store(&writeStarted)
 	if !c.congestion.isBlocked() {
 		t.Error("a write that does not end does not block its connection")
 	}
