Retries with a key stay in the cell of the process that had the first attempt

Cause: the hosts that may have a retry with a key are those of the zone or cell of the first attempt's host (hostsInScope), and that was read from the host at the time of the retry. If the host's id comes back in another cell meanwhile, the retry goes there, where the key is not known.

Change: an attempt keeps the zone and cell of the process that it was sent to. The checkpoint format has had both per attempt already.

TestRetryDoesNotReachNewProcessAtSameAddress: a process is replaced at its address while a request with a key is in flight. Under the same id in another cell the retry ran at the new process before, and the request now fails. Under another id it held before: not shown.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -22,6 +22,8 @@
 	attempt := b.freeAttempts.take()
 	attempt.request = request
 	attempt.host = host
+	attempt.zone = host.Zone
+	attempt.cell = host.Cell
 	attempt.sentAt = b.now
 	if host.ejection.count > 0 {
 		attempt.trial = true
--- a/balancer/checkpoint_requests.go
+++ b/balancer/checkpoint_requests.go
@@ -79,6 +79,8 @@
 	known := false
 	if !c.decoding {
 		listed = attempt.host.Host
+		listed.Zone = attempt.zone
+		listed.Cell = attempt.cell
 		known = b.byID[attempt.host.ID] == attempt.host
 	}
 	c.codeBool(&known)
@@ -95,6 +97,8 @@
 	if !c.decoding {
 		return
 	}
+	attempt.zone = listed.Zone
+	attempt.cell = listed.Cell
 	if !attempt.ended {
 		attempt.request.inFlight++
 	}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -22,6 +22,8 @@
 type attempt struct {
 	request         *request
 	host            *host
+	zone            int // zone and cell of the host's process; a later process may be in others
+	cell            int
 	sentAt          Time
 	ended           bool
 	result          Result            // valid once ended is set
--- a/balancer/scope.go
+++ b/balancer/scope.go
@@ -13,8 +13,9 @@
 	number int
 }
 
-// hostsInScope returns the hosts that drop duplicates of a request that was first sent to the given host.
-func (b *Balancer) hostsInScope(scope DedupScope, first *host) []*host {
+// hostsInScope returns the hosts that drop duplicates of a request, given its first attempt that may
+// have run.
+func (b *Balancer) hostsInScope(scope DedupScope, first *attempt) []*host {
 	if scope == ScopeAll {
 		return b.hosts
 	}
@@ -22,9 +23,9 @@
 		b.scopes.build(b.hosts)
 	}
 	if scope == ScopeZone {
-		return b.scopes.hosts[scopeKey{scope, first.Zone}]
+		return b.scopes.hosts[scopeKey{scope, first.zone}]
 	}
-	return b.scopes.hosts[scopeKey{scope, first.Cell}]
+	return b.scopes.hosts[scopeKey{scope, first.cell}]
 }
 
 // build groups the hosts by scope. It reuses the slices of the previous build, except those of scopes that
--- a/balancer/selection.go
+++ b/balancer/selection.go
@@ -50,7 +50,7 @@
 	b.refreshSubset()
 	first := request.firstThatMayRun()
 	if request.class.Idempotency == IdempotentWithKey && first != nil {
-		scope := b.hostsInScope(request.class.DedupScope, first.host) // may include hosts outside the subset
+		scope := b.hostsInScope(request.class.DedupScope, first) // may include hosts outside the subset
 		return b.pickInScope(request, scope)
 	}
 	excluded := &b.excluded[request.Class]
