--- a/balancer/checkpoint_test.go
+++ b/balancer/checkpoint_test.go
@@ -111,7 +111,7 @@
 		reflect.TypeFor[ejection]():           "count cause until trialInFlight backoffShortened |",
 		reflect.TypeFor[slowStart]():          "warming startedAt nextSend |",
 		reflect.TypeFor[request]():            "Request arrived deadline waitUntil queueIndex inFlight done answeredByBalancer streaming queued attempts | class link",
-		reflect.TypeFor[attempt]():            "request host sentAt ended result trial overtakenBy canceledStalled countedSilent | link",
+		reflect.TypeFor[attempt]():            "request host zone cell sentAt ended result trial overtakenBy canceledStalled countedSilent | link",
 		reflect.TypeFor[classErrors]():        "share lastAt exclusions excludedAt excludedUntil counted |",
 		reflect.TypeFor[decayingShare]():      "share at |",
 		reflect.TypeFor[decayingRate]():       "rate at | readAt readRate",
