Upgrades: the new process rejects the ids of requests that the old one has had

Cause: each process has its own table of ids.

Without the file the process logs it and serves. Not used where the socket is the process's own.

--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -42,6 +42,7 @@
 	drain        atomic.Pointer[drain.Drain] // the drain in progress, nil if there is none
 	drainStarted chan struct{}               // buffered; holds an item if a drain has started since the last receive
 	ids          requestIDs
+	sharedIDs    atomic.Pointer[SharedIDs]
 }
 
 // DefaultMaxHeaders is the default of Admission.MaxHeaders. A field takes some 150 bytes of memory, however short it is.
--- a/internal/frontend/ids.go
+++ b/internal/frontend/ids.go
@@ -83,6 +83,36 @@
 	return len(s.open)
 }
 
+// SharedIDs holds the ids of the requests of several processes that serve the same clients. Start records an id, and returns
+// false if any of them has had it recently. End records the end of its request.
+type SharedIDs interface {
+	Start(id string) bool
+	End(id string)
+}
+
+// ShareIDs makes the Admission reject ids that another process has had. It may be called at any time.
+func (a *Admission) ShareIDs(ids SharedIDs) { a.sharedIDs.Store(&ids) }
+
+// startID marks an id as open and reports whether it was unused, by this process and those that share their ids.
+func (a *Admission) startID(id string, now time.Time) bool {
+	if !a.ids.start(id, now) {
+		return false
+	}
+	if shared := a.sharedIDs.Load(); shared != nil && !(*shared).Start(id) {
+		a.ids.end(id)
+		return false
+	}
+	return true
+}
+
+// endID marks the id of an open request as recently ended.
+func (a *Admission) endID(id string) {
+	a.ids.end(id)
+	if shared := a.sharedIDs.Load(); shared != nil {
+		(*shared).End(id)
+	}
+}
+
 // isValidID reports whether an id has a valid length and only characters that need no escaping in headers and logs.
 func isValidID(id string) bool {
 	if id == "" || len(id) > maxIDLength {
--- a/internal/frontend/platform.go
+++ b/internal/frontend/platform.go
@@ -77,7 +77,7 @@
 	// The deadline of the class is the upper bound of the client's timeout.
 	deadline := t.Route.Classes[t.Class].Deadline
 	t.timeout = time.Duration(min(seconds, deadline.Seconds()) * float64(time.Second))
-	if !t.admission.ids.start(h.id, received) {
+	if !t.admission.startID(h.id, received) {
 		return NewRequestError(http.StatusConflict, "%s: in use", headerRequestID)
 	}
 	t.id = h.id
--- a/internal/frontend/ticket.go
+++ b/internal/frontend/ticket.go
@@ -190,7 +190,7 @@
 	}
 	t.releaseLimits()
 	if t.id != "" {
-		t.admission.ids.end(t.id)
+		t.admission.endID(t.id)
 	}
 	t.snapshot.Release()
 }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -212,6 +212,16 @@
 // SetDiscovery changes the address of the discovery service. It may be called on a platform gateway only.
 func (g *Gateway) SetDiscovery(addr string) { g.platform.watcher.SetAddress(addr) }
 
+// shareIDs shares the ids of requests with the process that this one takes over from, and with the next one.
+func (g *Gateway) shareIDs(dir string) {
+	ids, err := instancelock.OpenSharedIDs(dir)
+	if err != nil {
+		slog.Warn("ids are not shared with the other process", "err", err)
+		return
+	}
+	g.admission.ShareIDs(ids)
+}
+
 // ShareMachine halves the gateway's limits of memory and file descriptors while another process holds the instance lock in
 // dir, which is the case while one process takes over from the other. setMemory is called with the gateway's share of the
 // memory, 0.5 or 1. ShareMachine must be called before Stop. It has no effect unless the listening socket is held by the
@@ -221,6 +231,7 @@
 	if p == nil || !p.sharesSocket {
 		return
 	}
+	g.shareIDs(dir)
 	// setHalves sets the limits to halves/2 of the configured ones.
 	setHalves := func(halves int) {
 		setMemory(float64(halves) / 2)
