--- a/internal/body/stream.go
+++ b/internal/body/stream.go
@@ -31,6 +31,7 @@
 	consumed bool
 	closed   bool
 	err      error // error that reading has ended with, io.EOF included
+	bytes    int64 // bytes read
 }
 
 // NewStream returns the stream of a body that is length bytes long as a whole, or of unknown length if length is -1.
@@ -65,14 +66,22 @@
 // Read is as in io.Reader. Only the caller whose Consume succeeded may call it.
 func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.source.Read(p)
+	s.mu.Lock()
+	s.bytes += int64(n)
 	if err != nil {
-		s.mu.Lock()
 		s.err = err
-		s.mu.Unlock()
 	}
+	s.mu.Unlock()
 	return n, err
 }
 
+// BytesRead returns how many bytes of the stream were read, without the part of the body that is in memory.
+func (s *Stream) BytesRead() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bytes
+}
+
 // Err returns the error that reading ended with: nil while reading is in progress, io.EOF if the body is complete.
 func (s *Stream) Err() error {
 	s.mu.Lock()
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -43,6 +43,7 @@
 	drainStarted chan struct{}               // buffered; holds an item if a drain has started since the last receive
 	ids          requestIDs
 	sharedIDs    atomic.Pointer[SharedIDs]
+	events       eventLog
 }
 
 // DefaultMaxHeaders is the default of Admission.MaxHeaders. A field takes some 150 bytes of memory, however short it is.
--- a/internal/frontend/fastcgi/request.go
+++ b/internal/frontend/fastcgi/request.go
@@ -188,6 +188,9 @@
 	case engine.Served:
 		r.forward(t, resp)
 	case engine.Rejected:
+		if stream := t.Body.Stream(); stream != nil && stream.Err() != io.EOF {
+			t.LogEvent(frontend.EventUploadOverdue, "bytes", stream.BytesRead())
+		}
 		retryAfter := ""
 		if resp.RetryAfter > 0 {
 			retryAfter = frontend.FormatRetryAfter(resp.RetryAfter, t.Route.Plain != nil)
--- a/internal/frontend/fastcgi/response.go
+++ b/internal/frontend/fastcgi/response.go
@@ -92,6 +92,9 @@
 		err = r.forwardStream(stream, idleTimeout)
 	}
 	r.truncated = err != nil
+	if r.truncated {
+		t.LogEvent(frontend.EventResponseCutOff, "status", resp.Status, "err", err)
+	}
 	r.finish(nil)
 }
 
--- a/internal/frontend/http1/serve.go
+++ b/internal/frontend/http1/serve.go
@@ -104,6 +104,7 @@
 		received = time.Now()
 	}
 	if !s.readAhead(c) {
+		t.LogEvent(frontend.EventTooMuchPipelined)
 		t.Discard()
 		return nil, errTooMuchPipelined
 	}
--- a/internal/frontend/http1/streaming.go
+++ b/internal/frontend/http1/streaming.go
@@ -58,6 +58,9 @@
 	if uploading || longResponse || s.endsAfterResponse() {
 		c.closeAfter = true
 	}
+	if uploading && resp.Kind == engine.Rejected {
+		t.LogEvent(frontend.EventUploadOverdue, "bytes", requestStream.BytesRead())
+	}
 	if resp.Tunnel != nil {
 		s.runTunnel(c, t, resp)
 		return false
@@ -77,6 +80,7 @@
 		if requestStream != nil {
 			requestStream.Close()
 		}
+		t.LogEvent(frontend.EventResponseCutOff, "status", resp.Status, "err", err)
 		c.SetLinger(0)
 		return false
 	}
