Upgrades: the memory budgets are halved while two processes share the machine

Found by reading. Budget.SetMemoryLimit changes all limits; TestBudgetFollowsMemoryLimit and the upgrade tests pass.

--- a/internal/body/budget.go
+++ b/internal/body/budget.go
@@ -43,10 +43,15 @@
 // NewBudget returns a Budget for a process with a memory limit in bytes.
 func NewBudget(memoryLimit int64) *Budget {
 	b := &Budget{}
+	b.SetMemoryLimit(memoryLimit)
+	return b
+}
+
+// SetMemoryLimit changes the memory limit in bytes, as while two processes share it. What is reserved stays reserved.
+func (b *Budget) SetMemoryLimit(memoryLimit int64) {
 	for p, share := range purposeShares {
 		b.limit[p].Store(int64(share * float64(memoryLimit)))
 	}
-	return b
 }
 
 // Reserve reserves n bytes and reports whether they were available. If they were not it reserves nothing.
--- a/internal/body/budget_test.go
+++ b/internal/body/budget_test.go
@@ -52,3 +52,23 @@
 		t.Errorf("responses: %d bytes are reserved, want %d", used, 1<<18)
 	}
 }
+
+// While two processes share the memory, each reserves from half of it; what was reserved before counts.
+func TestBudgetFollowsMemoryLimit(t *testing.T) {
+	b := NewBudget(64 << 20)
+	_, whole := b.Used(RequestBodies)
+	if !b.Reserve(RequestBodies, whole/2) {
+		t.Fatal("reserve half: got false, want true")
+	}
+	b.SetMemoryLimit(32 << 20)
+	if _, limit := b.Used(RequestBodies); limit != whole/2 {
+		t.Errorf("got a limit of %d bytes with half of the memory, want %d", limit, whole/2)
+	}
+	if b.Reserve(RequestBodies, 1) {
+		t.Error("reserve beyond half of the memory: got true, want false")
+	}
+	b.SetMemoryLimit(64 << 20)
+	if !b.Reserve(RequestBodies, whole/2) {
+		t.Error("reserve the rest: got false, want true")
+	}
+}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -235,6 +235,7 @@
 	// setHalves sets the limits to halves/2 of the configured ones.
 	setHalves := func(halves int) {
 		setMemory(float64(halves) / 2)
+		g.admission.Bodies.SetMemoryLimit(g.memoryLimit * int64(halves) / 2)
 		sockets := g.maxSockets * halves / 2
 		g.server.SetConnLimits(clientSocketLimits(sockets))
 		p.transport.SetLimits(int(config.HostSockets(sockets)), int64(largeResponseShare*float64(g.memoryLimit)*float64(halves)/2))
