FastCGI frontend: bodies that wait for their hosts are reserved in the memory budget

Change: 4 KiB are free, the rest is reserved in the budget of request bodies while there is memory: 64 KiB where the connection is closed after the request, 1 MiB elsewhere as before.

--- a/internal/frontend/fastcgi/stdin.go
+++ b/internal/frontend/fastcgi/stdin.go
@@ -14,19 +14,24 @@
 	// read, if the connection carries nothing else and is closed after the request. On any other connection the web
 	// server may send a request at any time, which can't be seen while reading is blocked; body.WaitBudget bounds it.
 	soleStallTimeout = time.Minute
-	// maxPipedBody is the maximum number of bytes of a body that are buffered until its host reads them.
-	maxPipedBody = 64 << 10
+	// maxPipedBody is the maximum number of bytes of a body that are buffered until its host reads them, without memory of
+	// the budget. It is short, as web servers may send thousands of requests at once.
+	maxPipedBody = 4 << 10
 	// maxPipeExtension is the number of bytes beyond maxPipedBody that are buffered while there is memory for them, so that
-	// reading is not blocked by a host that pauses for a short time.
+	// reading is not blocked by a host that pauses for a short time, and maxSoleExtension the same on a connection that is
+	// closed after the request.
 	maxPipeExtension = 1 << 20
+	maxSoleExtension = 64 << 10
 )
 
-// newStdinPipe returns the pipe for the body of a request. It is extended if the connection stays open after the request.
+// newStdinPipe returns the pipe for the body of a request.
 func (c *conn) newStdinPipe(keepConn bool) *body.Pipe {
 	p := body.NewPipe(maxPipedBody)
+	extension := maxSoleExtension
 	if keepConn {
-		p.ExtendFrom(c.server.admission.Bodies, body.RequestBodies, maxPipeExtension)
+		extension = maxPipeExtension
 	}
+	p.ExtendFrom(c.server.admission.Bodies, body.RequestBodies, extension)
 	return p
 }
 
