--- a/cmd/dunemoor/crowd_cgi_test.go
+++ b/cmd/dunemoor/crowd_cgi_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -39,14 +38,7 @@
 	for _, sent := range []int{60 << 10, 200 << 10} {
 		t.Run(fmt.Sprintf("%d bytes", sent), func(t *testing.T) {
 			host := startScriptedHost(t, func(c net.Conn) { time.Sleep(waitTimeout) })
-			web, cgi := freeAddress(t), freeAddress(t)
-			file := filepath.Join(t.TempDir(), "appliance.toml")
-			writeFile(t, file, floodConfig(web, cgi, host))
-			p := newProgram(file, web, "-appliance", file)
-			p.Path, p.Args[0] = path, path
-			p.url = "http://" + web
-			p.run(t)
-			p.waitReady(t)
+			p, cgi := startBuiltAppliance(t, path, host)
 			var senders sync.WaitGroup
 			end := time.Now().Add(crowdTime)
 			for range cgiCrowdConns {
--- a/cmd/dunemoor/flood_test.go
+++ b/cmd/dunemoor/flood_test.go
@@ -42,6 +42,20 @@
 	return b.String()
 }
 
+// startBuiltAppliance runs a program that buildProgram has built with floodConfig, and returns its FastCGI address.
+func startBuiltAppliance(t testing.TB, path, host string) (p *program, cgi string) {
+	t.Helper()
+	web, cgi := freeAddress(t), freeAddress(t)
+	file := filepath.Join(t.TempDir(), "appliance.toml")
+	writeFile(t, file, floodConfig(web, cgi, host))
+	p = newProgram(file, web, "-appliance", file)
+	p.Path, p.Args[0] = path, path
+	p.url = "http://" + web
+	p.run(t)
+	p.waitReady(t)
+	return p, cgi
+}
+
 // flood is what one client sends at full speed on one connection until the connection is closed. id returns a new name.
 type flood struct {
 	isFastCGI bool
@@ -148,14 +162,7 @@
 	for name, f := range floods {
 		t.Run(name, func(t *testing.T) {
 			host := startScriptedHost(t, serveShortResponses)
-			web, cgi := freeAddress(t), freeAddress(t)
-			file := filepath.Join(t.TempDir(), "appliance.toml")
-			writeFile(t, file, floodConfig(web, cgi, host))
-			p := newProgram(file, web, "-appliance", file)
-			p.Path, p.Args[0] = path, path
-			p.url = "http://" + web
-			p.run(t)
-			p.waitReady(t)
+			p, cgi := startBuiltAppliance(t, path, host)
 			var clients sync.WaitGroup
 			stop := make(chan struct{})
 			for range floodNeighbors {
@@ -163,7 +170,7 @@
 			}
 			flooded := make(chan struct{})
 			go func() {
-				address := web
+				address := p.address()
 				if f.isFastCGI {
 					address = cgi
 				}
