Shared ids: an entry of a later tick is in use, not expired

Cause: SharedIDs.find took the age of an entry modulo 2^24 ticks. One that the other process had written after this one had read the clock was a tick 'younger than now', which is an age of 2^24 - 1: expired, and overwritten.

Change: ages beyond half of the range are 0. TestEntryOfLaterTickIsInUse forces the case: it failed before and passes; the package's tests of the table passed 30 times under the race detector.

--- a/internal/instancelock/sharedids.go
+++ b/internal/instancelock/sharedids.go
@@ -134,7 +134,7 @@
 	for i := range idsProbes {
 		candidate := &s.slots[(first+i)%idsSlots]
 		word := atomic.LoadUint64(candidate)
-		age := (now - word) & idTickMask
+		age := ticksSince(word, now)
 		isFree := word == 0 || age > uint64(sharedIDRetention/idTick)
 		if !isFree && word&^idTickMask == tag {
 			return true, candidate, word
@@ -149,6 +149,15 @@
 	return false, slot, content
 }
 
+// ticksSince returns the age of an entry in ticks. An entry that another process has written after now was read has age 0.
+func ticksSince(word, now uint64) uint64 {
+	age := (now - word) & idTickMask
+	if age > idTickMask/2 {
+		return 0
+	}
+	return age
+}
+
 // currentTick returns the time of the monotonic clock, which all processes of a machine share, in ticks.
 func currentTick() uint64 {
 	var now unix.Timespec
--- a/internal/instancelock/sharedids_test.go
+++ b/internal/instancelock/sharedids_test.go
@@ -72,3 +72,14 @@
 		}
 	}
 }
+
+// An entry that another process has written in the tick after the one that this process has read is in use, not expired.
+func TestEntryOfLaterTickIsInUse(t *testing.T) {
+	ids := openIDs(t, t.TempDir())
+	ids.Start("once")
+	tag, first := ids.hash("once")
+	earlier := (currentTick() - 2) & idTickMask
+	if isUsed, _, _ := ids.find(tag, first, earlier); !isUsed {
+		t.Error("an entry of a later tick: got free, want in use")
+	}
+}
